--- /dev/null
+++ b/src/core/host.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// What the core needs of the world: a clock, timers, and calls that are answered some time or never. The
+// program implements it with Asio, the tests with a simulated world, so that the core itself does no I/O.
+
+#include <functional>
+#include <random>
+#include <string>
+
+#include "wire/units.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+/// status 0: no answer, so the request may have been executed, or may still be.
+struct Reply {
+    int status = 0;
+    Value body;
+};
+
+enum class Target { State, Cloud, Worker };
+
+struct Call {
+    Target target = Target::State;
+    std::string addr;  // workers only
+    std::string method;
+    std::string path;
+    Value body;  // null: none
+    Micros timeout = 2 * kSecond;
+};
+
+using ReplyHandler = std::function<void(const Reply&)>;
+
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual Micros now() = 0;
+    /// Milliseconds of the time of day.
+    virtual std::int64_t wall_ms() = 0;
+    virtual void call(Call call, ReplyHandler done) = 0;
+    virtual void after(Micros delay, std::function<void()> run) = 0;
+    virtual std::mt19937_64& random() = 0;
+};
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/placement.hpp
@@ -0,0 +1,25 @@
+#pragma once
+// The five steps of placement as a pure function: candidates, a need and a seeded generator in, a choice out.
+
+#include <random>
+#include <vector>
+
+#include "settings/settings.hpp"
+#include "wire/units.hpp"
+
+namespace cottonway {
+
+struct Candidate {
+    std::size_t index = 0;  // the caller's
+    Resources size;
+    Resources booked;
+    int tasks = 0;
+    bool has_image = false;
+    double penalty = 0;  // added to the score as it is
+};
+
+/// Index of the chosen candidate's `index`, or -1 if none can hold the task.
+std::ptrdiff_t place(const std::vector<Candidate>& candidates, const Resources& need,
+                     const PlacementSettings& settings, std::mt19937_64& random);
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/net/metrics.hpp
@@ -0,0 +1,29 @@
+#pragma once
+// How long things take, as histograms (Boost.Histogram: Debian has no HDR histogram for C++).
+
+#include <boost/histogram.hpp>
+#include <map>
+#include <string>
+
+#include "wire/units.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway::net {
+
+class Metrics {
+  public:
+    void add(const std::string& name, Micros took, int status);
+    Value value() const;
+
+  private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+    struct Series {
+        Histogram micros = boost::histogram::make_histogram(Axis(60, 10.0, 60e6));
+        std::uint64_t count = 0;
+        std::map<int, std::uint64_t> by_status;
+    };
+    std::map<std::string, Series> series_;
+};
+
+}  // namespace cottonway::net
--- /dev/null
+++ b/src/net/service.cpp
@@ -0,0 +1,126 @@
+#include "net/service.hpp"
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "log/log.hpp"
+
+namespace cottonway::net {
+
+namespace {
+constexpr std::size_t kStateConnections = 24;
+constexpr std::size_t kCloudConnections = 6;
+constexpr std::size_t kWorkerConnections = 2;
+}  // namespace
+
+AsioHost::AsioHost(asio::io_context& io, const Settings& settings)
+    : io_(io),
+      settings_(settings),
+      state_(io, kStateConnections, kStateConnections),
+      cloud_(io, kCloudConnections, kCloudConnections),
+      workers_(io, kWorkerConnections, settings.sockets / 4),
+      random_(std::random_device{}()) {}
+
+Micros AsioHost::now() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+std::int64_t AsioHost::wall_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+void AsioHost::enqueue(std::function<void()> command) {
+    commands_.push_back(std::move(command));
+    if (std::exchange(draining_, true)) return;
+    asio::post(io_, [this] {
+        draining_ = false;
+        for (auto batch = std::exchange(commands_, {}); auto& c : batch) c();
+    });
+}
+
+void AsioHost::after(Micros delay, std::function<void()> run) {
+    if (delay <= 0) return enqueue(std::move(run));
+    auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(delay));
+    timer->async_wait([this, timer, run = std::move(run)](asio::error_code ec) mutable {
+        if (!ec) enqueue(std::move(run));
+    });
+}
+
+void AsioHost::call(Call call, ReplyHandler done) {
+    HttpClient* client = &state_;
+    Endpoint to = settings_.state;
+    const char* name = "state";
+    if (call.target == Target::Cloud) {
+        client = &cloud_;
+        to = settings_.cloud;
+        name = "cloud";
+    } else if (call.target == Target::Worker) {
+        client = &workers_;
+        name = "worker";
+        try {
+            to = parse_endpoint(call.addr);
+        } catch (const std::invalid_argument&) {
+            return enqueue([done = std::move(done)] { done(Reply{}); });
+        }
+    }
+    const std::string body = call.body.is_null() ? std::string() : wire::encode(call.body);
+    const Micros sent = now();
+    client->call(to, call.method, call.path, body, call.timeout,
+                 [this, name, sent, path = call.path, done = std::move(done)](ClientReply r) {
+                     Reply reply{r.status, {}};
+                     if (!r.body.empty()) {
+                         auto value = wire::decode(r.body);
+                         if (value) {
+                             reply.body = std::move(*value);
+                         } else {
+                             spdlog::error("{}: an answer to {} is not in the protocol", name, path);
+                             reply.status = 0;
+                         }
+                     }
+                     if (path.rfind("/changes", 0) != 0) metrics_.add(name, now() - sent, reply.status);
+                     enqueue([done, reply = std::move(reply)] { done(reply); });
+                 });
+}
+
+void run_service(const Settings& settings) {
+    asio::io_context io(1);
+    AsioHost host(io, settings);
+    Controller controller(host, settings);
+
+    HttpServer::Limits limits;
+    limits.connections = settings.sockets / 2;
+    HttpServer clients(io, settings.client_listen, limits, [&](Request request, Responder respond) {
+        const Micros start = host.now();
+        std::string name = request.path == "/v1/report" ? "report"
+                           : request.path == "/healthz" ? "health"
+                                                        : "user";
+        ApiRequest api{std::move(request.method), std::move(request.path), std::move(request.body),
+                       request.too_large};
+        host.enqueue([&, start, name, api = std::move(api), respond = std::move(respond)]() mutable {
+            controller.handle(std::move(api), [&host, start, name, respond](ApiResponse r) {
+                host.metrics().add(name, host.now() - start, r.status);
+                respond({r.status, wire::encode(r.body), "application/msgpack", r.retry_after});
+            });
+        });
+    });
+    HttpServer::Limits cluster_limits;
+    cluster_limits.connections = settings.sockets / 16;
+    HttpServer cluster(io, settings.cluster_listen, cluster_limits, [&](Request request, Responder respond) {
+        if (request.path != "/status") return respond({404, "", "text/plain", 0});
+        if (request.method != "GET") return respond({405, "", "text/plain", 0});
+        Value v = controller.status();
+        v["metrics"] = host.metrics().value();
+        respond({200, wire::encode(v), "application/msgpack", 0});
+    });
+    clients.start();
+    cluster.start();
+    controller.start();
+    io.run();
+}
+
+}  // namespace cottonway::net
--- /dev/null
+++ b/src/net/service.hpp
@@ -0,0 +1,45 @@
+#pragma once
+// The program's world: the core's host on Asio, and the servers in front of it.
+
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <random>
+
+#include "core/controller.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/metrics.hpp"
+#include "settings/settings.hpp"
+
+namespace cottonway::net {
+
+class AsioHost : public Host {
+  public:
+    AsioHost(asio::io_context& io, const Settings& settings);
+    Micros now() override;
+    std::int64_t wall_ms() override;
+    void call(Call call, ReplyHandler done) override;
+    void after(Micros delay, std::function<void()> run) override;
+    std::mt19937_64& random() override { return random_; }
+
+    /// Commands for the one owner of all state; they are worked through in batches.
+    void enqueue(std::function<void()> command);
+    Metrics& metrics() { return metrics_; }
+
+  private:
+    asio::io_context& io_;
+    const Settings& settings_;
+    HttpClient state_;
+    HttpClient cloud_;
+    HttpClient workers_;
+    std::mt19937_64 random_;
+    std::deque<std::function<void()>> commands_;
+    bool draining_ = false;
+    Metrics metrics_;
+};
+
+/// Runs until killed.
+void run_service(const Settings& settings);
+
+}  // namespace cottonway::net
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,180 @@
+#include "settings/settings.hpp"
+
+#include <toml++/toml.h>
+
+#include <asio/ip/address_v4.hpp>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <stdexcept>
+
+namespace cottonway {
+namespace {
+
+[[noreturn]] void fail(const std::string& key, const std::string& reason) {
+    throw std::runtime_error(key + ": " + reason);
+}
+
+toml::table parse_file(const std::string& path) {
+    try {
+        return toml::parse_file(path);
+    } catch (const toml::parse_error& e) {
+        fail(path, std::string(e.description()));
+    }
+}
+
+std::string text(const toml::table& t, const std::string& key) {
+    auto v = t.at_path(key).value<std::string>();
+    if (!v || v->empty()) fail(key, "a text is needed");
+    return *v;
+}
+
+double number(const toml::table& t, const std::string& key, double low, double high) {
+    auto v = t.at_path(key).value<double>();
+    if (!v) fail(key, "a number is needed");
+    if (!std::isfinite(*v) || *v < low || *v > high)
+        fail(key, "must lie between " + std::to_string(low) + " and " + std::to_string(high));
+    return *v;
+}
+
+Micros duration(const toml::table& t, const std::string& key) {
+    return static_cast<Micros>(std::llround(number(t, key, 0.001, 1e6) * 1e6));
+}
+
+Endpoint endpoint(const toml::table& t, const std::string& key) {
+    try {
+        return parse_endpoint(text(t, key));
+    } catch (const std::invalid_argument& e) {
+        fail(key, e.what());
+    }
+}
+
+/// Rows of an array of tables, each with the path that an error should name.
+void rows(const toml::table& t, const std::string& key, bool needed,
+          const std::function<void(const toml::table&)>& use) {
+    const toml::array* list = t.at_path(key).as_array();
+    if (!list) {
+        if (needed) fail(key, "is missing");
+        return;
+    }
+    std::size_t i = 0;
+    for (const auto& row : *list) {
+        if (!row.is_table()) fail(key, "must hold tables");
+        try {
+            use(*row.as_table());
+        } catch (const std::runtime_error& e) {
+            throw std::runtime_error(key + "[" + std::to_string(i) + "]." + e.what());
+        }
+        ++i;
+    }
+}
+
+Milli amount(const toml::table& t, const std::string& key) {
+    return static_cast<Milli>(std::llround(number(t, key, 0, 1e9) * 1000));
+}
+
+void load_operators(const std::string& path, OperatorSettings& out) {
+    struct Key {
+        double low, high;
+        std::function<void(double)> set;
+    };
+    auto seconds = [](Micros& to) {
+        return [&to](double v) { to = static_cast<Micros>(std::llround(v * 1e6)); };
+    };
+    auto plain = [](double& to) { return [&to](double v) { to = v; }; };
+    auto& p = out.placement;
+    const std::map<std::string, Key> keys{
+        {"placement.cores_weight", {-1000, 1000, plain(p.cores_weight)}},
+        {"placement.ram_weight", {-1000, 1000, plain(p.ram_weight)}},
+        {"placement.free_ram_weight", {-1000, 1000, plain(p.free_ram_weight)}},
+        {"placement.size_weight", {-1000, 1000, plain(p.size_weight)}},
+        {"placement.tasks_weight", {-1000, 1000, plain(p.tasks_weight)}},
+        {"placement.image_weight", {-1000, 1000, plain(p.image_weight)}},
+        {"placement.jitter", {0, 100, plain(p.jitter)}},
+        {"placement.cores_threshold", {0, 1, plain(p.cores_threshold)}},
+        {"placement.ram_threshold", {0, 1, plain(p.ram_threshold)}},
+        {"leadership.live_ttl_s", {0.5, 60, seconds(out.live_ttl)}},
+        {"fleet.idle_return_s", {1, 86400, seconds(out.idle_return)}},
+    };
+    toml::table t = parse_file(path);
+    for (const auto& [section, node] : t) {
+        const std::string name(section.str());
+        if (name == "log_level") {
+            out.log_level = text(t, name);
+            continue;
+        }
+        if (!node.is_table()) fail(name, "unknown key");
+        for (const auto& [key, value] : *node.as_table()) {
+            (void)value;
+            const std::string full = name + "." + std::string(key.str());
+            auto it = keys.find(full);
+            if (it == keys.end()) fail(full, "unknown key");
+            it->second.set(number(t, full, it->second.low, it->second.high));
+        }
+    }
+}
+
+}  // namespace
+
+Endpoint parse_endpoint(const std::string& s) {
+    auto colon = s.rfind(':');
+    if (colon == std::string::npos) throw std::invalid_argument("must look like 10.0.0.1:8080");
+    Endpoint e;
+    e.host = s.substr(0, colon);
+    asio::error_code ec;
+    asio::ip::make_address_v4(e.host, ec);
+    if (ec) throw std::invalid_argument("not an IPv4 address: " + e.host);
+    const std::string port = s.substr(colon + 1);
+    if (port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
+        std::stoi(port) < 1 || std::stoi(port) > 65535)
+        throw std::invalid_argument("not a port: " + port);
+    e.port = static_cast<std::uint16_t>(std::stoi(port));
+    return e;
+}
+
+Settings load_settings(const std::string& path, const std::string& operators_path) {
+    const toml::table t = parse_file(path);
+    Settings s;
+    s.node = text(t, "node_name");
+    s.zone = text(t, "site");
+    s.client_listen = endpoint(t, "client_listen");
+    s.cluster_listen = endpoint(t, "cluster_listen");
+    s.cloud = endpoint(t, "services.cloud");
+    s.state = endpoint(t, "services.state");
+    rows(t, "peers", false, [&](const toml::table& row) {
+        s.peers.push_back({text(row, "node_name"), text(row, "site"), endpoint(row, "peer_addr")});
+    });
+    if (const auto* zones = t.at_path("deployment.zones").as_array())
+        for (const auto& z : *zones)
+            if (auto v = z.value<std::string>()) s.zones.push_back(*v);
+    rows(t, "deployment.teams", true, [&](const toml::table& row) {
+        Team team;
+        team.name = text(row, "name");
+        team.guarantee = {amount(row, "cpus"), amount(row, "gpus"), 0};
+        team.limit = {amount(row, "cpus_max"), amount(row, "gpus_max"), 0};
+        s.teams.push_back(team);
+    });
+    rows(t, "deployment.objectives", false, [&](const toml::table& row) {
+        Objective o;
+        o.kind = text(row, "kind");
+        o.job_class = row.at_path("class").value_or<std::string>("");
+        o.within = static_cast<Micros>(row.at_path("within_s").value_or(0.0) * 1e6);
+        s.objectives.push_back(o);
+    });
+    s.report_every = duration(t, "deployment.workers.report_s");
+    s.lease = duration(t, "deployment.workers.lease_s");
+    s.gang_wait = duration(t, "deployment.workers.gang_wait_s");
+    s.gang_peer = duration(t, "deployment.workers.gang_peer_s");
+    s.cancel = duration(t, "deployment.workers.cancel_s");
+    s.state_rps = number(t, "deployment.state.rps", 0.1, 1e6);
+    s.state_write_rps = number(t, "deployment.state.write_rps", 0.1, 1e6);
+    s.value_bytes = static_cast<std::size_t>(number(t, "deployment.state.value_kb", 1, 64) * 1024);
+    s.txn_ops = static_cast<std::size_t>(number(t, "deployment.state.txn_ops", 1, 1000));
+    s.cloud_rps = number(t, "deployment.cloud.rps", 0.1, 1e6);
+    s.list_lag = duration(t, "deployment.cloud.list_lag_s");
+    s.sockets = static_cast<std::size_t>(number(t, "deployment.limits.sockets", 64, 1e6));
+    if (!operators_path.empty()) load_operators(operators_path, s.ops);
+    return s;
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,91 @@
+#pragma once
+// What the platform hands over (one TOML file) and what operators may set themselves (a second one).
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "wire/units.hpp"
+
+namespace cottonway {
+
+struct Endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+struct Team {
+    std::string name;
+    Resources guarantee;
+    Resources limit;
+};
+
+struct Objective {
+    std::string kind;
+    std::string job_class;
+    Micros within = 0;
+};
+
+struct Peer {
+    std::string name;
+    std::string zone;
+    Endpoint addr;
+};
+
+/// Weights and thresholds of placement; the defaults are those of docs/design.md.
+struct PlacementSettings {
+    double cores_weight = 40;
+    double ram_weight = 20;
+    double free_ram_weight = 20;
+    double size_weight = 5;
+    double tasks_weight = 15;
+    double image_weight = 30;
+    double jitter = 1;
+    double cores_threshold = 0.95;
+    double ram_threshold = 0.90;
+};
+
+struct OperatorSettings {
+    PlacementSettings placement;
+    Micros live_ttl = 2'500 * kMillisecond;
+    Micros idle_return = 90 * kSecond;
+    std::string log_level;
+};
+
+struct Settings {
+    std::string node;
+    std::string zone;
+    Endpoint client_listen;
+    Endpoint cluster_listen;
+    Endpoint cloud;
+    Endpoint state;
+    std::vector<Peer> peers;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    Micros report_every = 3 * kSecond;
+    Micros lease = 30 * kSecond;
+    Micros gang_wait = 60 * kSecond;
+    Micros gang_peer = 5 * kSecond;
+    Micros cancel = 60 * kSecond;
+    double state_rps = 100;
+    double state_write_rps = 20;
+    std::size_t value_bytes = 4096;
+    std::size_t txn_ops = 8;
+    double cloud_rps = 4;
+    Micros list_lag = 6 * kSecond;
+    std::size_t sockets = 1000;
+    OperatorSettings ops;
+
+    bool has_objective(const std::string& kind) const {
+        for (const auto& o : objectives)
+            if (o.kind == kind) return true;
+        return false;
+    }
+};
+
+/// Throws std::runtime_error with one line that names the key and the reason.
+Settings load_settings(const std::string& path, const std::string& operators_path);
+Endpoint parse_endpoint(const std::string& text);
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/state/store.cpp
@@ -0,0 +1,290 @@
+#include "state/store.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr int kMaxInFlight = 3;
+constexpr std::size_t kMaxQueue = 5000;
+constexpr std::size_t kMaxBatchBytes = 48 * 1024;
+constexpr Micros kGather = 3 * kMillisecond;
+}  // namespace
+
+Micros RateBudget::take(Micros now, double amount) {
+    if (at_ == 0) at_ = now;
+    left_ = std::min(burst_, left_ + rate_ * static_cast<double>(now - at_) / 1e6);
+    at_ = now;
+    amount = std::min(amount, burst_);
+    if (left_ >= amount) {
+        left_ -= amount;
+        return 0;
+    }
+    return static_cast<Micros>((amount - left_) / rate_ * 1e6) + kMillisecond;
+}
+
+Store::Store(Host& host, const Settings& settings)
+    : host_(host),
+      settings_(settings),
+      requests_(settings.state_rps * 0.9, settings.state_rps * 0.5),
+      writes_(settings.state_write_rps * 0.95,
+              std::max(settings.state_write_rps * 0.6, double(settings.txn_ops))) {}
+
+void Store::request(Call call, ReplyHandler done) {
+    call.target = Target::State;
+    if (const Micros wait = requests_.take(host_.now(), 1); wait > 0) {
+        if (wait > kSecond) {
+            host_.after(0, [done = std::move(done)] { done(Reply{429, {}}); });
+            return;
+        }
+        host_.after(wait, [this, call = std::move(call), done = std::move(done)]() mutable {
+            request(std::move(call), std::move(done));
+        });
+        return;
+    }
+    host_.call(std::move(call), [this, done = std::move(done)](const Reply& r) {
+        if (r.status == 0 || r.status == 503) {
+            ++failures_;
+        } else if (r.status != 429) {
+            failures_ = 0;
+            last_contact_ = host_.now();
+        }
+        done(r);
+    });
+}
+
+void Store::read(const std::string& key, std::function<void(ReadResult)> done) {
+    Call call;
+    call.method = "GET";
+    call.path = "/store/" + key;
+    call.timeout = 1500 * kMillisecond;
+    request(std::move(call), [done = std::move(done)](const Reply& r) {
+        ReadResult result;
+        if (r.status == 404 && r.body.is_object()) {
+            result.ok = true;
+        } else if (r.status == 200) {
+            const Value* data = wire::find(r.body, "data");
+            auto mark = wire::count(r.body, "mark");
+            if (data && mark) result = {true, true, *data, *mark};
+        }
+        done(std::move(result));
+    });
+}
+
+void Store::list(const std::string& prefix, std::function<void(const Entry&)> each,
+                 std::function<void(ListResult)> done) {
+    list_page(prefix, "", std::move(each), std::make_shared<ListResult>(), std::move(done));
+}
+
+void Store::list_page(const std::string& prefix, const std::string& since,
+                      std::function<void(const Entry&)> each, std::shared_ptr<ListResult> result,
+                      std::function<void(ListResult)> done) {
+    Call call;
+    call.method = "GET";
+    call.path = "/store?starts=" + prefix + (since.empty() ? "" : "&since=" + since) + "&page=100";
+    call.timeout = 4 * kSecond;
+    request(std::move(call), [this, prefix, since, each = std::move(each), result,
+                              done = std::move(done)](const Reply& r) mutable {
+        const Value* pairs = wire::find(r.body, "pairs");
+        auto ledger = wire::count(r.body, "ledger");
+        if (r.status != 200 || !pairs || !pairs->is_array() || !ledger) return done(ListResult{});
+        if (since.empty()) result->ledger = *ledger;
+        std::string last;
+        for (const auto& p : *pairs) {
+            auto key = wire::text(p, "k");
+            auto mark = wire::count(p, "mark");
+            if (!key || !mark) return done(ListResult{});
+            last = *key;
+            const Value* data = wire::find(p, "data");
+            each(Entry{*key, data ? *data : Value(), *mark});
+        }
+        if (wire::flag(r.body, "has_next").value_or(false) && !last.empty())
+            return list_page(prefix, last, std::move(each), result, std::move(done));
+        result->ok = true;
+        done(std::move(*result));
+    });
+}
+
+void Store::watch(const std::string& prefix, Revision since, Micros block, ReplyHandler done) {
+    Call call;
+    call.method = "GET";
+    call.path = "/changes?starts=" + prefix + "&since=" + std::to_string(since) +
+                "&block_ms=" + std::to_string(block / kMillisecond);
+    call.timeout = block + 4 * kSecond;
+    request(std::move(call), std::move(done));
+}
+
+void Store::grant(Micros ttl, std::function<void(std::uint64_t)> done) {
+    Call call;
+    call.method = "POST";
+    call.path = "/grants";
+    call.body = Value{{"ttl_ms", ttl / kMillisecond}};
+    request(std::move(call), [done = std::move(done)](const Reply& r) {
+        done(r.status == 200 ? wire::count(r.body, "lien").value_or(0) : 0);
+    });
+}
+
+void Store::extend(std::uint64_t lease, std::function<void(int)> done) {
+    Call call;
+    call.method = "POST";
+    call.path = "/grants/" + std::to_string(lease) + "/extend";
+    call.body = Value::object();
+    call.timeout = kSecond;
+    request(std::move(call), [done = std::move(done)](const Reply& r) { done(r.status); });
+}
+
+void Store::commit(Change change, std::function<void(const CommitResult&)> done) {
+    const bool writes = !change.then.empty();
+    Queue& queue = writes ? write_queue_ : check_queue_;
+    if (queue.pending.size() >= kMaxQueue) {
+        host_.after(0, [done = std::move(done)] { done({CommitStatus::Unavailable, 0, {}}); });
+        return;
+    }
+    Pending p{std::move(change), std::move(done), host_.now(), false};
+    if (p.change.urgent)
+        queue.pending.push_front(std::move(p));
+    else
+        queue.pending.push_back(std::move(p));
+    pump(queue, writes);
+}
+
+void Store::later(Queue& queue, bool writes, Micros delay) {
+    if (queue.timer) return;
+    queue.timer = true;
+    host_.after(delay, [this, &queue, writes] {
+        queue.timer = false;
+        pump(queue, writes);
+    });
+}
+
+void Store::pump(Queue& queue, bool writes) {
+    while (!queue.pending.empty() && queue.in_flight < kMaxInFlight) {
+        const Micros now = host_.now();
+        if (now < queue.pause_until) return later(queue, writes, queue.pause_until - now);
+        // A moment to gather what belongs into the same transaction.
+        const Micros age = now - queue.pending.front().queued;
+        if (age < kGather) return later(queue, writes, kGather - age);
+        std::vector<Pending> batch;
+        std::set<std::string> keys;
+        std::map<std::string, Revision> conditions;
+        std::size_t ops = 0, bytes = 0;
+        while (!queue.pending.empty()) {
+            Pending& p = queue.pending.front();
+            std::size_t size = 64;
+            bool clash = false;
+            for (const auto& w : p.change.then) {
+                size +=
+                    w.key.size() + 32 + w.value.dump(-1, ' ', false, Value::error_handler_t::replace).size();
+                clash = clash || keys.count(w.key) > 0;
+            }
+            for (const auto& c : p.change.when) {
+                size += c.key.size() + 32;
+                auto it = conditions.find(c.key);
+                clash = clash || (it != conditions.end() && it->second != c.mark);
+            }
+            if (!batch.empty() &&
+                (clash || p.alone || batch.back().alone || ops + p.change.then.size() > settings_.txn_ops ||
+                 conditions.size() + p.change.when.size() > settings_.txn_ops * 4 ||
+                 bytes + size > kMaxBatchBytes))
+                break;
+            ops += p.change.then.size();
+            bytes += size;
+            for (const auto& w : p.change.then) keys.insert(w.key);
+            for (const auto& c : p.change.when) conditions[c.key] = c.mark;
+            batch.push_back(std::move(p));
+            queue.pending.pop_front();
+        }
+        if (ops > 0) {
+            if (const Micros wait = writes_.take(now, static_cast<double>(ops)); wait > 0) {
+                for (auto it = batch.rbegin(); it != batch.rend(); ++it)
+                    queue.pending.push_front(std::move(*it));
+                return later(queue, writes, wait);
+            }
+        }
+        ++queue.in_flight;
+        send(queue, writes, std::move(batch));
+    }
+}
+
+void Store::send(Queue& queue, bool writes, std::vector<Pending> batch) {
+    Value when = Value::array(), then = Value::array();
+    std::set<std::string> seen;
+    for (const auto& p : batch) {
+        for (const auto& c : p.change.when)
+            if (seen.insert(c.key).second) when.push_back(Value{{"k", c.key}, {"mark", c.mark}});
+        for (const auto& w : p.change.then) {
+            if (w.value.is_null()) {
+                then.push_back(Value{{"drop", w.key}});
+            } else {
+                Value op{{"write", w.key}, {"data", w.value}};
+                if (w.lease) op["lien"] = w.lease;
+                then.push_back(std::move(op));
+            }
+        }
+    }
+    Call call;
+    call.method = "POST";
+    call.path = "/commit";
+    call.body = Value{{"when", std::move(when)}};
+    if (!then.empty()) call.body["then"] = std::move(then);
+    auto held = std::make_shared<std::vector<Pending>>(std::move(batch));
+    request(std::move(call), [this, &queue, writes, held](const Reply& r) {
+        --queue.in_flight;
+        settle(queue, writes, std::move(*held), r);
+        pump(queue, writes);
+    });
+}
+
+void Store::settle(Queue& queue, bool writes, std::vector<Pending> batch, const Reply& reply) {
+    auto requeue = [&](std::vector<Pending>&& list, bool alone) {
+        for (auto it = list.rbegin(); it != list.rend(); ++it) {
+            it->alone = it->alone || alone;
+            queue.pending.push_front(std::move(*it));
+        }
+    };
+    auto finish = [](const std::vector<Pending>& list, const CommitResult& result) {
+        for (const auto& p : list) p.done(result);
+    };
+    auto ledger = wire::count(reply.body, "ledger");
+    if (reply.status == 200 && (ledger || !writes))
+        return finish(batch, {CommitStatus::Ok, ledger.value_or(0), {}});
+    if (reply.status == 409) {
+        std::set<std::string> failed;
+        if (const Value* list = wire::find(reply.body, "failed"); list && list->is_array())
+            for (const auto& k : *list)
+                if (k.is_string()) failed.insert(k.get<std::string>());
+        std::vector<Pending> hit, rest;
+        for (auto& p : batch) {
+            const bool touched = std::any_of(p.change.when.begin(), p.change.when.end(),
+                                             [&](const Condition& c) { return failed.count(c.key) > 0; });
+            (touched ? hit : rest).push_back(std::move(p));
+        }
+        if (hit.empty()) return finish(rest, {CommitStatus::Unknown, 0, {}});
+        requeue(std::move(rest), false);
+        return finish(hit, {CommitStatus::Conflict, 0, {failed.begin(), failed.end()}});
+    }
+    if (reply.status == 429) {
+        // Others use the same budget; what has waited too long is given back to its caller.
+        const Micros now = host_.now();
+        queue.pause_until =
+            now + 60 * kMillisecond + static_cast<Micros>(host_.random()() % 80) * kMillisecond;
+        std::vector<Pending> fresh, old;
+        for (auto& p : batch) (now - p.queued > 3 * kSecond ? old : fresh).push_back(std::move(p));
+        requeue(std::move(fresh), false);
+        return finish(old, {CommitStatus::Unavailable, 0, {}});
+    }
+    if (reply.status == 503) return finish(batch, {CommitStatus::Unavailable, 0, {}});
+    if (reply.status == 400) {
+        if (batch.size() > 1) return requeue(std::move(batch), true);
+        spdlog::error("state service rejects a transaction on {}",
+                      batch.front().change.then.empty() ? "nothing" : batch.front().change.then.front().key);
+        return finish(batch, {CommitStatus::Rejected, 0, {}});
+    }
+    finish(batch, {CommitStatus::Unknown, 0, {}});
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/state/store.hpp
@@ -0,0 +1,131 @@
+#pragma once
+// Client of the state service: reads, watches, leases, and transactions that are grouped into as few
+// requests as the rates allow.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/host.hpp"
+#include "settings/settings.hpp"
+
+namespace cottonway {
+
+using Revision = std::uint64_t;
+
+struct Condition {
+    std::string key;
+    Revision mark = 0;  // 0: the key must not exist
+};
+
+struct Write {
+    std::string key;
+    Value value;  // null: delete
+    std::uint64_t lease = 0;
+};
+
+/// One caller's part of a transaction. Without writes it only compares.
+struct Change {
+    std::vector<Condition> when;
+    std::vector<Write> then;
+    bool urgent = false;
+};
+
+enum class CommitStatus {
+    Ok,
+    Conflict,     // a condition did not hold: nothing was written
+    Unavailable,  // refused before execution: nothing was written
+    Unknown,      // no answer: may have been executed, or may still be
+    Rejected,     // malformed or with a lease that ended: nothing was written
+};
+
+struct CommitResult {
+    CommitStatus status = CommitStatus::Unknown;
+    Revision revision = 0;
+    std::vector<std::string> failed;
+};
+
+struct Entry {
+    std::string key;
+    Value value;
+    Revision mark = 0;
+};
+
+struct ReadResult {
+    bool ok = false;  // false: nothing is known
+    bool found = false;
+    Value value;
+    Revision mark = 0;
+};
+
+struct ListResult {
+    bool ok = false;
+    std::vector<Entry> entries;
+    Revision ledger = 0;  // as of the first page
+};
+
+/// A token bucket on the steady clock.
+class RateBudget {
+  public:
+    RateBudget(double per_second, double burst) : rate_(per_second), burst_(burst), left_(burst) {}
+    /// 0 if taken, else how long to wait.
+    Micros take(Micros now, double amount);
+
+  private:
+    double rate_, burst_, left_;
+    Micros at_ = 0;
+};
+
+class Store {
+  public:
+    Store(Host& host, const Settings& settings);
+
+    void read(const std::string& key, std::function<void(ReadResult)> done);
+    /// All pages below a prefix; entries are handed over page by page to keep memory bounded.
+    void list(const std::string& prefix, std::function<void(const Entry&)> each,
+              std::function<void(ListResult)> done);
+    void commit(Change change, std::function<void(const CommitResult&)> done);
+    void watch(const std::string& prefix, Revision since, Micros block, ReplyHandler done);
+    void grant(Micros ttl, std::function<void(std::uint64_t lease)> done);  // 0: none
+    void extend(std::uint64_t lease, std::function<void(int status)> done);
+
+    /// When the service last answered a request with anything but 503 or 429.
+    Micros last_contact() const { return last_contact_; }
+    bool reachable() const { return failures_ < 3; }
+
+  private:
+    struct Pending {
+        Change change;
+        std::function<void(const CommitResult&)> done;
+        Micros queued = 0;
+        bool alone = false;
+    };
+    struct Queue {
+        std::deque<Pending> pending;
+        int in_flight = 0;
+        bool timer = false;
+        Micros pause_until = 0;
+    };
+
+    void request(Call call, ReplyHandler done);
+    void pump(Queue& queue, bool writes);
+    void later(Queue& queue, bool writes, Micros delay);
+    void send(Queue& queue, bool writes, std::vector<Pending> batch);
+    void settle(Queue& queue, bool writes, std::vector<Pending> batch, const Reply& reply);
+    void list_page(const std::string& prefix, const std::string& since,
+                   std::function<void(const Entry&)> each, std::shared_ptr<ListResult> result,
+                   std::function<void(ListResult)> done);
+
+    Host& host_;
+    const Settings& settings_;
+    RateBudget requests_;
+    RateBudget writes_;
+    Queue write_queue_;
+    Queue check_queue_;
+    Micros last_contact_ = 0;
+    int failures_ = 0;
+};
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/wire/wire.hpp
@@ -0,0 +1,143 @@
+#pragma once
+// The words of the wire. Everything that the protocol names in its own way (looms, threads, shuttles) is
+// turned into the field's terms here, and nowhere else.
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/units.hpp"
+
+namespace cottonway {
+
+using Value = nlohmann::json;
+
+enum class JobKind { Array, Gang, Service };
+enum class Rank { Production = 0, High = 1, Normal = 2, Low = 3 };
+
+struct JobSpec {
+    std::string ref;
+    std::string job_class;
+    std::string team;
+    JobKind kind = JobKind::Array;
+    Rank rank = Rank::Normal;
+    int tasks = 0;
+    Resources need;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false;
+    bool spread = false;
+    bool spot = false;
+    std::string image;
+    Milli image_gb = 0;
+    Micros estimate = 0;
+    Micros checkpoint = 0;
+    Micros save = 0;
+    std::optional<Micros> deadline;
+};
+
+enum class Phase { Fetching, Waiting, Running, Saving, Exited };
+enum class ExitCause { Done, Stopped, Peers, Alone, Error, NoRoom, Busy, Unknown };
+
+struct ReportedTask {
+    std::string job;
+    int task = 0;
+    std::int64_t attempt = 0;
+    Phase phase = Phase::Running;
+    ExitCause cause = ExitCause::Stopped;
+    bool saved = false;
+};
+
+struct Report {
+    std::string machine;
+    std::string addr;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    std::uint64_t token = 0;
+    std::optional<Micros> notice;
+    std::vector<ReportedTask> tasks;
+};
+
+enum class OrderKind { Launch, Stop, Clear };
+
+struct Order {
+    OrderKind kind = OrderKind::Launch;
+    std::string job;
+    int task = 0;
+    std::int64_t attempt = 0;
+    Micros grace = 0;
+};
+
+struct MachineType {
+    std::string name;
+    Resources size;
+    Milli cache_gb = 0;
+    double fetch_gb_per_s = 0;
+    double price = 0;
+    double spot_price = 0;
+    Micros boot = 0;
+    std::vector<std::string> zones;
+};
+
+enum class CloudState { Starting, Running, Failed };
+
+struct CloudMachine {
+    std::string name;
+    std::string addr;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    CloudState state = CloudState::Starting;
+    Micros age = 0;
+};
+
+namespace wire {
+
+/// Decodes MessagePack; nothing for what is malformed, too deep or followed by further bytes.
+std::optional<Value> decode(std::string_view bytes);
+std::string encode(const Value& value);
+
+bool valid_ref(std::string_view ref);
+
+/// A job as submitted. The error names the field.
+struct JobResult {
+    std::optional<JobSpec> spec;
+    std::string error;
+};
+JobResult parse_job(const Value& body);
+Value job_value(const JobSpec& spec);
+/// "req-000412" of a body that need not be valid otherwise.
+std::optional<std::string> ref_of(const Value& body);
+
+std::optional<Report> parse_report(const Value& body);
+Value report_answer(std::uint64_t token, const std::vector<Order>& orders);
+Value direct_orders(std::uint64_t token, std::uint64_t session, const std::vector<Order>& orders);
+Value redirect(const std::string& node);
+Value job_answer(const std::string& ref, std::string_view stage);
+Value job_state(const std::string& ref, std::string_view stage, int done, int running);
+
+std::optional<std::vector<MachineType>> parse_types(const Value& body);
+struct MachinePage {
+    std::vector<CloudMachine> machines;
+    bool more = false;
+};
+std::optional<MachinePage> parse_machines(const Value& body);
+Value rent_request(const std::string& name, const std::string& type, const std::string& zone, bool spot,
+                   int count);
+std::optional<std::vector<std::string>> parse_rented(const Value& body);
+Value delete_request(const std::vector<std::string>& machines);
+
+// Reads of a map that never throw.
+const Value* find(const Value& map, const char* key);
+std::optional<std::string> text(const Value& map, const char* key);
+std::optional<std::uint64_t> count(const Value& map, const char* key);
+std::optional<double> number(const Value& map, const char* key);
+std::optional<bool> flag(const Value& map, const char* key);
+
+}  // namespace wire
+}  // namespace cottonway
--- /dev/null
+++ b/tools/cottonway.cpp
@@ -0,0 +1,68 @@
+// The program: runs a controller, checks its settings, or asks a running one.
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "cli/client.hpp"
+#include "log/log.hpp"
+#include "net/service.hpp"
+#include "settings/settings.hpp"
+
+using namespace cottonway;
+
+int main(int argc, char** argv) {
+    CLI::App app{"cottonway: a cluster scheduler"};
+    app.set_version_flag("--version", std::string("cottonway ") + COTTONWAY_VERSION);
+    std::string config, operators, node = "127.0.0.1:8080", ref, file;
+    bool check = false;
+    app.add_option("--config", config, "the platform's settings file (TOML); runs a controller");
+    app.add_option("--operators", operators, "the operators' own settings (TOML)");
+    app.add_flag("--check", check, "check the settings and exit");
+    auto client = [&](const char* name, const char* help) {
+        auto* sub = app.add_subcommand(name, help);
+        sub->add_option("--node", node, "address of a controller")->capture_default_str();
+        return sub;
+    };
+    auto* submit = client("submit", "submit the job in a JSON file");
+    submit->add_option("file", file, "the job as JSON")->required()->check(CLI::ExistingFile);
+    auto* show = client("show", "show a job");
+    show->add_option("ref", ref, "the job's id")->required();
+    auto* cancel = client("cancel", "cancel a job");
+    cancel->add_option("ref", ref, "the job's id")->required();
+    auto* status = client("status", "status and metrics of a controller (its cluster address)");
+    app.require_subcommand(0, 1);
+    CLI11_PARSE(app, argc, argv);
+
+    try {
+        if (submit->parsed()) {
+            std::ifstream in(file);
+            return cli::request(parse_endpoint(node), "POST", "/v1/jobs", Value::parse(in));
+        }
+        if (show->parsed()) return cli::request(parse_endpoint(node), "GET", "/v1/jobs/" + ref, {});
+        if (cancel->parsed())
+            return cli::request(parse_endpoint(node), "POST", "/v1/jobs/" + ref + "/abort", Value::object());
+        if (status->parsed()) return cli::request(parse_endpoint(node), "GET", "/status", {});
+        if (config.empty()) {
+            std::cerr << app.help();
+            return 2;
+        }
+        const Settings settings = load_settings(config, operators);
+        const char* level = std::getenv("LOG_LEVEL");
+        std::string wanted = level ? level : settings.ops.log_level;
+        if (!start_logging(settings.node, wanted)) {
+            std::cerr << "LOG_LEVEL: must be error, info or debug, not " << wanted << "\n";
+            return 2;
+        }
+        if (check) {
+            std::cout << "settings of " << settings.node << " are fine\n";
+            return 0;
+        }
+        net::run_service(settings);
+    } catch (const std::exception& e) {
+        std::cerr << "cottonway: " << e.what() << "\n";
+        return 2;
+    }
+    return 0;
+}
