--- /dev/null
+++ b/src/standin/standins.cpp
@@ -0,0 +1,396 @@
+#include "standin/standins.hpp"
+
+#include <algorithm>
+
+namespace cottonway::standin {
+
+namespace {
+
+std::string query(const std::string& path, const std::string& key) {
+    auto q = path.find('?');
+    while (q != std::string::npos) {
+        const auto end = path.find('&', q + 1);
+        const std::string part = path.substr(q + 1, end == std::string::npos ? end : end - q - 1);
+        if (part.compare(0, key.size() + 1, key + "=") == 0) return part.substr(key.size() + 1);
+        q = end;
+    }
+    return "";
+}
+
+bool starts_with(const std::string& s, const std::string& prefix) {
+    return s.compare(0, prefix.size(), prefix) == 0;
+}
+
+constexpr std::size_t kEvents = 10'000;
+
+}  // namespace
+
+// ---------------------------------------------------------------- state service
+
+void StateService::note(const std::string& key, const Value& value) {
+    events_.push_back({key, value, ledger_});
+    if (events_.size() > kEvents) events_.pop_front();
+}
+
+void StateService::drop_lease(std::uint64_t id) {
+    leases_.erase(id);
+    std::vector<std::string> attached;
+    for (const auto& [key, item] : items_)
+        if (item.lease == id) attached.push_back(key);
+    if (attached.empty()) return;
+    ++ledger_;
+    for (const auto& key : attached) {
+        items_.erase(key);
+        note(key, Value());
+    }
+}
+
+void StateService::expire(Micros now) {
+    if (down_) return;
+    std::vector<std::uint64_t> over;
+    for (const auto& [id, lease] : leases_)
+        if (lease.until < now) over.push_back(id);
+    for (auto id : over) drop_lease(id);
+}
+
+void StateService::set_down(bool down, Micros now) {
+    if (down_ && !down)
+        for (auto& [id, lease] : leases_) lease.until = now + lease.ttl;
+    down_ = down;
+}
+
+Micros StateService::block_time(const std::string& path) {
+    const std::string ms = query(path, "block_ms");
+    return ms.empty() ? 0 : std::stoll(ms) * kMillisecond;
+}
+
+std::optional<Reply> StateService::watch(const std::string& path, bool last) {
+    if (down_) return std::nullopt;
+    const std::string prefix = query(path, "starts");
+    const auto since = std::stoull(query(path, "since"));
+    if (events_.size() >= kEvents && since < events_.front().mark) return Reply{410, Value::object()};
+    Value news = Value::array();
+    for (const auto& e : events_) {
+        if (e.mark <= since || !starts_with(e.key, prefix)) continue;
+        if (e.value.is_null())
+            news.push_back(Value{{"drop", e.key}, {"mark", e.mark}});
+        else
+            news.push_back(Value{{"write", e.key}, {"data", e.value}, {"mark", e.mark}});
+    }
+    if (news.empty() && !last) return std::nullopt;
+    return Reply{200, Value{{"ledger", ledger_}, {"news", std::move(news)}}};
+}
+
+Reply StateService::handle(const std::string& method, const std::string& path, const Value& body,
+                           Micros now) {
+    if (down_) return {503, Value::object()};
+    expire(now);
+    if (method == "GET" && starts_with(path, "/store/")) {
+        auto it = items_.find(path.substr(7));
+        if (it == items_.end()) return {404, Value{{"ledger", ledger_}}};
+        return {200, Value{{"k", it->first}, {"data", it->second.value}, {"mark", it->second.mark}}};
+    }
+    if (method == "GET" && starts_with(path, "/store?")) {
+        const std::string prefix = query(path, "starts"), since = query(path, "since");
+        const auto page = std::stoul(query(path, "page"));
+        Value pairs = Value::array();
+        bool more = false;
+        for (auto it = since.empty() ? items_.lower_bound(prefix) : items_.upper_bound(since);
+             it != items_.end() && starts_with(it->first, prefix); ++it) {
+            if (pairs.size() >= page) {
+                more = true;
+                break;
+            }
+            pairs.push_back(Value{{"k", it->first}, {"data", it->second.value}, {"mark", it->second.mark}});
+        }
+        return {200, Value{{"pairs", std::move(pairs)}, {"has_next", more}, {"ledger", ledger_}}};
+    }
+    if (method == "POST" && path == "/commit") return commit(body);
+    if (method == "POST" && path == "/grants") {
+        const auto ttl = static_cast<Micros>(wire::count(body, "ttl_ms").value_or(0)) * kMillisecond;
+        leases_[next_lease_] = {ttl, now + ttl};
+        return {200, Value{{"lien", next_lease_++}}};
+    }
+    if (method == "POST" && starts_with(path, "/grants/")) {
+        auto it = leases_.find(std::stoull(path.substr(8)));
+        if (it == leases_.end()) return {404, Value::object()};
+        it->second.until = now + it->second.ttl;
+        return {200, Value::object()};
+    }
+    return {400, Value::object()};
+}
+
+Reply StateService::commit(const Value& body) {
+    Value failed = Value::array();
+    if (const Value* when = wire::find(body, "when"))
+        for (const auto& c : *when) {
+            const std::string key = wire::text(c, "k").value_or("");
+            auto it = items_.find(key);
+            if ((it == items_.end() ? 0 : it->second.mark) != wire::count(c, "mark").value_or(0))
+                failed.push_back(key);
+        }
+    if (!failed.empty()) return {409, Value{{"failed", failed}, {"ledger", ledger_}}};
+    const Value* then = wire::find(body, "then");
+    if (!then) return {200, Value{{"ledger", ledger_}}};
+    for (const auto& op : *then)
+        if (auto lease = wire::count(op, "lien"); lease && !leases_.count(*lease))
+            return {400, Value{{"error", "no such lease"}}};
+    ++ledger_;
+    for (const auto& op : *then) {
+        if (auto key = wire::text(op, "write")) {
+            const Value* data = wire::find(op, "data");
+            items_[*key] = {data ? *data : Value(), ledger_, wire::count(op, "lien").value_or(0)};
+            note(*key, items_[*key].value);
+        } else if (auto drop = wire::text(op, "drop")) {
+            items_.erase(*drop);
+            note(*drop, Value());
+        }
+    }
+    return {200, Value{{"ledger", ledger_}}};
+}
+
+// ---------------------------------------------------------------- worker
+
+Worker::Worker(std::string name, std::string addr, MachineType type, std::string zone, bool spot,
+               Micros lease, Micros gang_wait, TaskObserver& observer, Micros now)
+    : name_(std::move(name)),
+      addr_(std::move(addr)),
+      type_(std::move(type)),
+      zone_(std::move(zone)),
+      spot_(spot),
+      lease_(lease),
+      gang_wait_(gang_wait),
+      observer_(observer),
+      leased_from_(now) {}
+
+Worker::~Worker() {
+    kill_all();
+}
+
+void Worker::kill_all() {
+    for (auto& t : tasks_)
+        if (t.on) observer_.off_machine(name_, t.job, t.task, t.attempt);
+    tasks_.clear();
+}
+
+void Worker::exit(Task& t, const char* cause) {
+    if (t.on) observer_.off_machine(name_, t.job, t.task, t.attempt);
+    t.on = false;
+    t.phase = Phase::Exited;
+    t.cause = cause;
+    changed = true;
+}
+
+void Worker::advance(Micros now) {
+    if (now - leased_from_ > lease_) {
+        kill_all();
+        ++session_;
+        leased_from_ = now;
+        changed = true;
+    }
+    for (auto& t : tasks_) {
+        const JobInfo* info = observer_.job(t.job);
+        const std::string id = t.job + "/" + std::to_string(t.task);
+        if (t.phase == Phase::Fetching && (images_.count(info->spec.image) || now - t.since >= info->fetch)) {
+            images_.insert(info->spec.image);
+            t.on = true;
+            observer_.on_machine(name_, t.job, t.task, t.attempt);
+            t.since = now;
+            t.phase = info->spec.kind == JobKind::Gang ? Phase::Waiting : Phase::Running;
+            if (results_.count(id)) exit(t, "done");
+            changed = true;
+        } else if (t.phase == Phase::Waiting) {
+            if (observer_.gang_complete(t.job, t.attempt)) {
+                t.phase = Phase::Running;
+                t.since = now;
+                changed = true;
+            } else if (now - t.since > gang_wait_) {
+                exit(t, "incomplete");
+            }
+        } else if (t.phase == Phase::Running) {
+            if (info->spec.kind == JobKind::Gang && !observer_.gang_whole(t.job, t.attempt) &&
+                now - t.since < info->run) {
+                exit(t, "mates_gone");
+            } else if (info->spec.kind != JobKind::Service && now - t.since >= info->run) {
+                results_.insert(id);
+                observer_.completed(t.job, t.task, t.attempt);
+                exit(t, "done");
+            }
+        } else if (t.phase == Phase::Saving && now - t.since >= info->spec.save) {
+            exit(t, "stopped");
+        }
+    }
+}
+
+void Worker::execute(const Value& orders, Micros now) {
+    for (const auto& o : orders) {
+        const std::string kind = wire::text(o, "order").value_or("");
+        const std::string name = wire::text(o, "thread").value_or("/");
+        const auto slash = name.rfind('/');
+        const std::string job = name.substr(0, slash);
+        const int task = std::atoi(name.c_str() + slash + 1);
+        const auto attempt = static_cast<std::int64_t>(wire::count(o, "try").value_or(0));
+        auto same = [&](const Task& t) { return t.job == job && t.task == task && t.attempt == attempt; };
+        auto it = std::find_if(tasks_.begin(), tasks_.end(), same);
+        if (kind == "launch") {
+            if (it != tasks_.end()) continue;
+            Task t{job, task, attempt, Phase::Fetching, "", now, false};
+            const JobInfo* info = observer_.job(job);
+            Resources used;
+            bool busy = false;
+            for (const auto& other : tasks_) {
+                if (other.phase == Phase::Exited) continue;
+                used += observer_.job(other.job)->spec.need;
+                busy = busy || (other.job == job && other.task == task);
+            }
+            if (!info)
+                exit(t, "no_such");
+            else if (busy)
+                exit(t, "in_use");
+            else if (!info->spec.need.fits(type_.size - used))
+                exit(t, "full");
+            tasks_.push_back(t);
+            changed = true;
+        } else if (kind == "stop" && it != tasks_.end() && it->phase != Phase::Exited) {
+            const JobInfo* info = observer_.job(job);
+            const double grace = wire::number(o, "slack_s").value_or(0);
+            const bool can_save =
+                info->spec.checkpoint > 0 && grace * 1e6 >= static_cast<double>(info->spec.save);
+            if (it->phase == Phase::Running && can_save) {
+                it->phase = Phase::Saving;
+                it->since = now;
+                changed = true;
+            } else if (it->phase != Phase::Saving || grace == 0) {
+                exit(*it, "stopped");
+            }
+        } else if (kind == "clear" && it != tasks_.end() && it->phase == Phase::Exited) {
+            tasks_.erase(it);
+            changed = true;
+        }
+    }
+    advance(now);
+}
+
+Value Worker::report(Micros now) {
+    advance(now);
+    changed = false;
+    Value tasks = Value::array();
+    for (const auto& t : tasks_) {
+        static const char* const names[] = {"pulling", "gathering", "running", "saving", "exited"};
+        Value v{{"thread", t.job + "/" + std::to_string(t.task)},
+                {"try", t.attempt},
+                {"stage", names[static_cast<int>(t.phase)]}};
+        if (t.phase == Phase::Exited) v["cause"] = t.cause;
+        tasks.push_back(std::move(v));
+    }
+    Value v{{"frame", name_},  {"addr", addr_},     {"loom_type", type_.name},
+            {"mill", zone_},   {"remnant", spot_},  {"shift", session_},
+            {"tally", ++seq_}, {"shuttle", token_}, {"threads", std::move(tasks)}};
+    if (notice) v["warning_s"] = static_cast<double>(std::max<Micros>(*notice - now, 0)) / 1e6;
+    return v;
+}
+
+void Worker::answered(const Value& body, std::uint64_t session_then, Micros sent, Micros now) {
+    advance(now);
+    if (session_then != session_) return;
+    const auto token = wire::count(body, "shuttle");
+    if (!token || *token < token_) return;
+    if (*token > token_) changed = true;
+    token_ = *token;
+    leased_from_ = std::max(leased_from_, sent);
+    if (const Value* orders = wire::find(body, "orders")) execute(*orders, now);
+}
+
+Reply Worker::handle(const std::string& method, const std::string& path, const Value& body, Micros now) {
+    advance(now);
+    if (method == "GET" && path == "/show") return {200, report(now)};
+    const auto token = wire::count(body, "shuttle"), session = wire::count(body, "shift");
+    if (!token || !session) return {400, Value::object()};
+    if (*token < token_ || *session != session_) return {409, report(now)};
+    if (*token > token_) changed = true;
+    token_ = *token;
+    if (const Value* orders = wire::find(body, "orders")) execute(*orders, now);
+    return {200, report(now)};
+}
+
+// ---------------------------------------------------------------- cloud
+
+const MachineType* Cloud::type(const std::string& name) const {
+    for (const auto& t : types_)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+std::string Cloud::rent_one(const std::string& type_name, const std::string& zone, bool spot, Micros now,
+                            Micros boot) {
+    char name[32];
+    std::snprintf(name, sizeof name, "n-%06d", next_++);
+    Machine m;
+    m.info = {name, "", type_name, zone, spot, CloudState::Starting, 0};
+    m.rented = now;
+    m.up_at = now + boot;
+    machines_[name] = m;
+    return name;
+}
+
+Reply Cloud::handle(const std::string& method, const std::string& path, const Value& body, Micros now) {
+    if (down) return {503, Value{{"error", "trouble"}}};
+    if (method == "GET" && path == "/machine_types") {
+        Value list = Value::array();
+        for (const auto& t : types_)
+            list.push_back(Value{{"name", t.name},
+                                 {"cores", static_cast<double>(t.size.cores) / 1000},
+                                 {"cards", static_cast<double>(t.size.cards) / 1000},
+                                 {"ram_gb", static_cast<double>(t.size.ram) / 1000},
+                                 {"cache_gb", static_cast<double>(t.cache_gb) / 1000},
+                                 {"fetch_gb_per_s", t.fetch_gb_per_s},
+                                 {"price", t.price},
+                                 {"spot_price", t.spot_price},
+                                 {"ready_s", static_cast<double>(t.boot) / 1e6},
+                                 {"mills", t.zones}});
+        return {200, Value{{"looms", list}}};
+    }
+    if (method == "POST" && path == "/machines") {
+        const std::string name = wire::text(body, "hire").value_or("");
+        auto known = requests_.find(name);
+        if (known != requests_.end()) return {200, Value{{"frames", known->second}}};
+        const auto* t = type(wire::text(body, "loom_type").value_or(""));
+        if (!t || name.empty()) return {400, Value::object()};
+        const int count = std::min(static_cast<int>(wire::count(body, "how_many").value_or(0)), capacity);
+        if (count == 0) return {503, Value{{"error", "no capacity"}}};
+        std::vector<std::string> names;
+        for (int i = 0; i < count; ++i) {
+            names.push_back(rent_one(t->name, wire::text(body, "mill").value_or(""),
+                                     wire::flag(body, "remnant").value_or(false), now, t->boot));
+            --capacity;
+        }
+        requests_[name] = names;
+        return {200, Value{{"frames", names}}};
+    }
+    if (method == "POST" && path == "/machines/delete") {
+        if (const Value* names = wire::find(body, "frames"))
+            for (const auto& n : *names) {
+                const auto name = n.get<std::string>();
+                if (machines_.erase(name)) ++capacity;
+                if (on_delete) on_delete(name);
+            }
+        return {200, Value::object()};
+    }
+    if (method == "GET" && starts_with(path, "/machines?")) {
+        Value list = Value::array();
+        for (const auto& [name, m] : machines_) {
+            static const char* const states[] = {"starting", "running", "failed"};
+            list.push_back(Value{{"ref", name},
+                                 {"addr", m.info.addr},
+                                 {"loom_type", m.info.type},
+                                 {"mill", m.info.zone},
+                                 {"remnant", m.info.spot},
+                                 {"stage", states[static_cast<int>(m.info.state)]},
+                                 {"held_s", static_cast<double>(now - m.rented) / 1e6}});
+        }
+        return {200, Value{{"frames", list}, {"has_next", false}}};
+    }
+    return {404, Value::object()};
+}
+
+}  // namespace cottonway::standin
--- /dev/null
+++ b/src/standin/standins.hpp
@@ -0,0 +1,160 @@
+#pragma once
+// Stand-ins for the outside systems, written from their published protocol: the state service, the cloud and
+// the workers. They are pure state machines; the tests put a simulated network around them, and
+// cottonway-standins puts them on loopback for trying things out.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/host.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway::standin {
+
+/// The state service. A watch that has nothing to tell yet gives no reply: ask again until `block_ms` is
+/// over.
+class StateService {
+  public:
+    Reply handle(const std::string& method, const std::string& path, const Value& body, Micros now);
+    /// The reply to a watch, or nothing while it blocks.
+    std::optional<Reply> watch(const std::string& path, bool last);
+    static Micros block_time(const std::string& path);
+    void set_down(bool down, Micros now);
+    void expire(Micros now);
+    bool down() const { return down_; }
+
+  private:
+    struct Item {
+        Value value;
+        std::uint64_t mark = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Lease {
+        Micros ttl = 0;
+        Micros until = 0;
+    };
+    struct Event {
+        std::string key;
+        Value value;  // null: dropped
+        std::uint64_t mark = 0;
+    };
+    Reply commit(const Value& body);
+    void drop_lease(std::uint64_t id);
+    void note(const std::string& key, const Value& value);
+
+    std::map<std::string, Item> items_;
+    std::map<std::uint64_t, Lease> leases_;
+    std::deque<Event> events_;
+    std::uint64_t ledger_ = 1;
+    std::uint64_t next_lease_ = 1;
+    bool down_ = false;
+};
+
+/// What a worker needs to know of a job; users upload it.
+struct JobInfo {
+    JobSpec spec;
+    Micros run = 0;
+    Micros fetch = 0;
+};
+
+/// The world that the workers' tasks live in.
+class TaskObserver {
+  public:
+    virtual ~TaskObserver() = default;
+    virtual const JobInfo* job(const std::string& ref) = 0;
+    /// A task has its image and is on the machine from now on.
+    virtual void on_machine(const std::string& machine, const std::string& job, int task,
+                            std::int64_t attempt) = 0;
+    virtual void off_machine(const std::string& machine, const std::string& job, int task,
+                             std::int64_t attempt) = 0;
+    /// A task has completed (its result is kept).
+    virtual void completed(const std::string& job, int task, std::int64_t attempt) = 0;
+    /// True once every task of the gang's attempt waits or runs somewhere.
+    virtual bool gang_complete(const std::string& job, std::int64_t attempt) = 0;
+    /// False once a task of the gang's attempt is gone.
+    virtual bool gang_whole(const std::string& job, std::int64_t attempt) = 0;
+};
+
+class Worker {
+  public:
+    Worker(std::string name, std::string addr, MachineType type, std::string zone, bool spot, Micros lease,
+           Micros gang_wait, TaskObserver& observer, Micros now);
+    ~Worker();
+
+    /// POST /do, GET /show.
+    Reply handle(const std::string& method, const std::string& path, const Value& body, Micros now);
+    /// A report's body; `sent` is needed when it is answered.
+    Value report(Micros now);
+    void answered(const Value& body, std::uint64_t session_then, Micros sent, Micros now);
+    void advance(Micros now);
+    void kill_all();
+
+    std::uint64_t session() const { return session_; }
+    std::uint64_t token() const { return token_; }
+    const std::string& name() const { return name_; }
+    const std::string& addr() const { return addr_; }
+    const MachineType& type() const { return type_; }
+    const std::string& zone() const { return zone_; }
+    bool spot() const { return spot_; }
+    std::optional<Micros> notice;
+    bool changed = false;
+
+  private:
+    struct Task {
+        std::string job;
+        int task = 0;
+        std::int64_t attempt = 0;
+        Phase phase = Phase::Fetching;
+        const char* cause = "";
+        Micros since = 0;
+        bool on = false;
+    };
+    void execute(const Value& orders, Micros now);
+    void exit(Task& t, const char* cause);
+
+    std::string name_, addr_;
+    MachineType type_;
+    std::string zone_;
+    bool spot_;
+    Micros lease_, gang_wait_;
+    TaskObserver& observer_;
+    std::uint64_t session_ = 1, seq_ = 0, token_ = 0;
+    Micros leased_from_;
+    std::vector<Task> tasks_;
+    std::set<std::string> images_;
+    std::set<std::string> results_;
+};
+
+class Cloud {
+  public:
+    struct Machine {
+        CloudMachine info;
+        Micros rented = 0;
+        Micros up_at = 0;
+        bool up = false;
+    };
+    explicit Cloud(std::vector<MachineType> types) : types_(std::move(types)) {}
+
+    Reply handle(const std::string& method, const std::string& path, const Value& body, Micros now);
+    std::string rent_one(const std::string& type, const std::string& zone, bool spot, Micros now,
+                         Micros boot);
+    std::map<std::string, Machine>& machines() { return machines_; }
+    const std::vector<MachineType>& types() const { return types_; }
+    const MachineType* type(const std::string& name) const;
+    std::function<void(const std::string&)> on_delete;
+    int capacity = 1000;
+    bool down = false;
+
+  private:
+    std::vector<MachineType> types_;
+    std::map<std::string, Machine> machines_;
+    std::map<std::string, std::vector<std::string>> requests_;
+    int next_ = 1;
+};
+
+}  // namespace cottonway::standin
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,112 @@
+// Every rule of the protocol, checked after every step while the world fails at random. The seeds are fixed;
+// a failure prints its seed and the last lines of a readable trace.
+
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace cottonway::test {
+namespace {
+
+class RulesHold : public testing::TestWithParam<int> {};
+
+TEST_P(RulesHold, WhateverFails) {
+    World w(static_cast<std::uint64_t>(GetParam()));
+    auto pick = [&](int n) { return static_cast<int>(w.random() % static_cast<std::uint64_t>(n)); };
+    for (int i = 0; i < 6; ++i) w.add_machine(i % 3 == 0 ? "large" : "small", i % 2 ? "a" : "b", i >= 4);
+    w.cloud().capacity = 6;
+    w.loss = pick(3) == 0 ? 0.01 : 0;
+    w.start_nodes();
+    const Micros end = 150 * kSecond;
+    int number = 1;
+    for (Micros t = 2 * kSecond; t < end; t += static_cast<Micros>(500 + pick(3000)) * kMillisecond) {
+        w.at(t, [&w, &number, pick] {
+            const JobKind kind = pick(4) == 0   ? JobKind::Service
+                                 : pick(4) == 0 ? JobKind::Gang
+                                                : JobKind::Array;
+            JobSpec s = w.job(number++, kind, 1 + pick(kind == JobKind::Service ? 3 : 6), 1 + pick(3));
+            s.team = pick(3) == 0 ? "blue" : "red";
+            s.rank = static_cast<Rank>(pick(4));
+            s.spot = kind != JobKind::Service;
+            s.spread = kind == JobKind::Service && s.tasks > 1;
+            s.one_zone = kind == JobKind::Gang && pick(2);
+            if (pick(3) == 0) s.checkpoint = 3 * kSecond, s.save = kSecond;
+            s.need.cores = std::min<Milli>(s.need.cores, 16'000 / s.tasks);
+            w.submit(s, static_cast<Micros>(2000 + pick(9000)) * kMillisecond,
+                     static_cast<Micros>(pick(1500)) * kMillisecond);
+            if (pick(3) == 0 || kind == JobKind::Service)
+                w.at(w.now() + static_cast<Micros>(pick(15000)) * kMillisecond,
+                     [&w, ref = s.ref] { w.cancel(ref); });
+        });
+    }
+    for (Micros t = 6 * kSecond; t < end - 40 * kSecond; t += static_cast<Micros>(2 + pick(9)) * kSecond) {
+        w.at(t, [&w, pick] {
+            const std::string node = "loom-" + std::to_string(pick(3));
+            const auto names = w.machine_names();
+            const std::string machine =
+                names.empty() ? "" : names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
+            const Micros span = static_cast<Micros>(1 + pick(25)) * kSecond;
+            switch (pick(9)) {
+                case 0:
+                    return w.crash(pick(3), static_cast<Micros>(500 + pick(6000)) * kMillisecond);
+                case 1:
+                    for (int i = 0; i < 3; ++i)
+                        w.crash(i, static_cast<Micros>(500 + pick(4000)) * kMillisecond);
+                    return;
+                case 2:
+                    w.note("state service is down");
+                    w.state().set_down(true, w.now());
+                    return w.at(w.now() + span, [&w] {
+                        w.note("state service is back");
+                        w.state().set_down(false, w.now());
+                    });
+                case 3:
+                    w.cut(node, "state");
+                    return w.at(w.now() + span, [&w, node] { w.heal(node, "state"); });
+                case 4:
+                    if (machine.empty()) return;
+                    w.cut(node, machine);
+                    return w.at(w.now() + span, [&w, node, machine] { w.heal(node, machine); });
+                case 5:
+                    for (const auto& m : names) w.cut(node, m);
+                    return w.at(w.now() + span, [&w, node, names] {
+                        for (const auto& m : names) w.heal(node, m);
+                    });
+                case 6: {
+                    const int i = node[5] - '0';
+                    w.refuse(i, true);
+                    return w.at(w.now() + span, [&w, i] { w.refuse(i, false); });
+                }
+                case 7:
+                    if (machine.empty()) return;
+                    w.hang(machine, true);
+                    return w.at(w.now() + span, [&w, machine] { w.hang(machine, false); });
+                default:
+                    if (!machine.empty() && names.size() > 3) w.kill_machine(machine);
+                    return;
+            }
+        });
+    }
+    w.run(end);
+    w.heal_all();
+    w.run(60 * kSecond);
+    EXPECT_TRUE(w.broken.empty()) << "seed " << GetParam() << ": " << w.broken.front() << "\n"
+                                  << w.story(400);
+    int accepted = 0, over = 0, begun = 0;
+    for (int i = 1; i < number; ++i) {
+        char ref[32];
+        std::snprintf(ref, sizeof ref, "req-%06d", i);
+        accepted += w.told(ref) != "";
+        over += w.told(ref) == "done" || w.told(ref) == "cancelled";
+        begun += w.starts(ref) > 0;
+    }
+    // The world must have been busy, or nothing was tested.
+    EXPECT_GT(accepted, number / 2);
+    EXPECT_GT(over, accepted / 2) << w.story();
+    EXPECT_GT(begun, accepted / 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RulesHold, testing::Range(1, 17));
+
+}  // namespace
+}  // namespace cottonway::test
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,569 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+#include "log/log.hpp"
+
+namespace cottonway::test {
+
+using standin::JobInfo;
+using standin::Worker;
+
+namespace {
+std::pair<std::string, std::string> link(const std::string& a, const std::string& b) {
+    return a < b ? std::pair(a, b) : std::pair(b, a);
+}
+constexpr Micros kStep = 50 * kMillisecond;
+}  // namespace
+
+Settings small_site() {
+    Settings s;
+    s.node = "loom-0";
+    s.zone = "a";
+    s.zones = {"a", "b"};
+    s.teams = {{"red", {8'000, 0, 0}, {24'000, 0, 0}}, {"blue", {8'000, 0, 0}, {16'000, 0, 0}}};
+    s.report_every = 2 * kSecond;
+    s.lease = 12 * kSecond;
+    s.gang_wait = 20 * kSecond;
+    s.gang_peer = 4 * kSecond;
+    s.cancel = 30 * kSecond;
+    s.state_rps = 500;
+    s.state_write_rps = 200;
+    s.cloud_rps = 5;
+    return s;
+}
+
+std::vector<MachineType> small_types() {
+    MachineType small{"small", {8'000, 0, 32'000}, 50'000, 1.0, 1.0, 0.4, 10 * kSecond, {"a", "b"}};
+    MachineType large{"large", {16'000, 0, 64'000}, 50'000, 1.0, 2.0, 0.8, 10 * kSecond, {"a", "b"}};
+    return {small, large};
+}
+
+/// A node's host: its clock drifts, and what it started dies with its process.
+class World::NodeHost : public Host, public std::enable_shared_from_this<NodeHost> {
+  public:
+    NodeHost(World& world, int index, std::uint64_t seed)
+        : world_(world), index_(index), name_("loom-" + std::to_string(index)), random_(seed) {
+        drift_ppm_ = static_cast<Micros>(random_() % 500);
+        offset_ = static_cast<Micros>(random_() % 1'000'000'000) + kSecond;
+    }
+    Micros now() override { return offset_ + world_.now_ + world_.now_ / 1'000'000 * drift_ppm_; }
+    std::int64_t wall_ms() override { return 1'790'000'000'000 + world_.now_ / kMillisecond; }
+    std::mt19937_64& random() override { return random_; }
+    void after(Micros delay, std::function<void()> run) override {
+        world_.at(world_.now_ + std::max<Micros>(delay, 0),
+                  [self = shared_from_this(), run = std::move(run)] {
+                      if (self->alive) run();
+                  });
+    }
+    void call(Call call, ReplyHandler done) override {
+        struct Pending {
+            bool over = false;
+        };
+        auto pending = std::make_shared<Pending>();
+        auto finish = [self = shared_from_this(), pending, done = std::move(done)](const Reply& r) {
+            if (std::exchange(pending->over, true) || !self->alive) return;
+            done(r);
+        };
+        world_.at(world_.now_ + call.timeout, [finish] { finish(Reply{}); });
+        std::string to = call.target == Target::State ? "state" : call.target == Target::Cloud ? "cloud" : "";
+        if (to.empty())
+            for (auto& [name, r] : world_.workers_)
+                if (r.worker && r.worker->addr() == call.addr) to = name;
+        if (to.empty()) return;
+        auto back = [self = shared_from_this(), to, finish](Reply r) {
+            self->world_.send(to, self->name_, [finish, r = std::move(r)] { finish(r); });
+        };
+        world_.send(name_, to, [self = shared_from_this(), call, to, back] { self->arrive(call, to, back); });
+    }
+    bool alive = true;
+
+  private:
+    void arrive(const Call& call, const std::string& to, const std::function<void(Reply)>& back) {
+        World& w = world_;
+        // Bodies go through the codec, as they would on the wire.
+        const Value body =
+            call.body.is_null() ? Value() : wire::decode(wire::encode(call.body)).value_or(Value());
+        if (to == "state") {
+            if (w.nodes_[static_cast<std::size_t>(index_)].refused) return back(Reply{503, Value::object()});
+            if (call.path.compare(0, 8, "/changes") == 0)
+                return wait_for_change(call.path, w.now_ + standin::StateService::block_time(call.path),
+                                       back);
+            return back(w.state_.handle(call.method, call.path, body, w.now_));
+        }
+        if (to == "cloud") return back(w.cloud_.handle(call.method, call.path, body, w.now_));
+        auto it = w.workers_.find(to);
+        if (it == w.workers_.end() || !it->second.worker) return;
+        auto execute = [&w, to, call, body, back] {
+            auto found = w.workers_.find(to);
+            if (found == w.workers_.end() || !found->second.worker) return;
+            back(found->second.worker->handle(call.method, call.path, body, w.now_));
+        };
+        if (it->second.hung)
+            it->second.waiting.push_back(execute);
+        else
+            execute();
+    }
+    void wait_for_change(const std::string& path, Micros until, const std::function<void(Reply)>& back) {
+        const bool refused = world_.nodes_[static_cast<std::size_t>(index_)].refused;
+        auto reply = refused ? std::nullopt : world_.state_.watch(path, world_.now_ >= until);
+        if (reply) return back(*reply);
+        if (world_.now_ > until + 60 * kSecond) return;
+        world_.at(world_.now_ + 10 * kMillisecond, [self = shared_from_this(), path, until, back] {
+            if (self->alive) self->wait_for_change(path, until, back);
+        });
+    }
+
+    World& world_;
+    int index_;
+    std::string name_;
+    std::mt19937_64 random_;
+    Micros drift_ppm_ = 0;
+    Micros offset_ = 0;
+};
+
+World::World(std::uint64_t seed, Settings s) : settings(std::move(s)), random(seed), cloud_(small_types()) {
+    spdlog::set_level(spdlog::level::off);
+    cloud_.capacity = 0;
+    cloud_.on_delete = [this](const std::string& name) { kill_machine(name); };
+    at(0, [this] { tick(); });
+}
+
+World::~World() {
+    for (auto& n : nodes_) {
+        if (n.host) n.host->alive = false;
+        n.controller.reset();
+    }
+    events_.clear();
+}
+
+void World::at(Micros when, std::function<void()> what) {
+    events_[{std::max(when, now_), ++order_}] = std::move(what);
+}
+
+void World::run(Micros span) {
+    const Micros end = now_ + span;
+    while (!events_.empty() && events_.begin()->first.first <= end) {
+        auto event = events_.extract(events_.begin());
+        now_ = event.key().first;
+        event.mapped()();
+    }
+    now_ = end;
+}
+
+Micros World::delay() {
+    return 500 + static_cast<Micros>(random() % 4500);
+}
+
+void World::send(const std::string& from, const std::string& to, std::function<void()> deliver) {
+    if (cuts_.count(link(from, to))) {
+        held_.emplace_back(from, to, std::move(deliver));
+        return;
+    }
+    if (loss > 0 && std::uniform_real_distribution<double>(0, 1)(random) < loss) return;
+    at(now_ + delay(), std::move(deliver));
+}
+
+void World::cut(const std::string& a, const std::string& b) {
+    note("cut between " + a + " and " + b);
+    cuts_.insert(link(a, b));
+}
+
+void World::heal(const std::string& a, const std::string& b) {
+    note("healed between " + a + " and " + b);
+    cuts_.erase(link(a, b));
+    auto held = std::exchange(held_, {});
+    for (auto& [from, to, deliver] : held) {
+        if (link(from, to) == link(a, b))
+            at(now_ + delay(), std::move(deliver));  // minutes late, but delivered
+        else
+            held_.emplace_back(from, to, std::move(deliver));
+    }
+}
+
+void World::heal_all() {
+    for (const auto& [a, b] : std::set(cuts_)) heal(a, b);
+}
+
+void World::refuse(int i, bool on) {
+    note("state service " + std::string(on ? "refuses" : "serves") + " loom-" + std::to_string(i));
+    nodes_[static_cast<std::size_t>(i)].refused = on;
+}
+
+// ---------------------------------------------------------------- nodes and machines
+
+void World::start_nodes(int count) {
+    nodes_.resize(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) start_node(i);
+}
+
+void World::start_node(int i) {
+    Node& n = nodes_[static_cast<std::size_t>(i)];
+    Settings s = settings;
+    s.node = "loom-" + std::to_string(i);
+    s.zone = settings.zones[static_cast<std::size_t>(i) % settings.zones.size()];
+    n.host = std::make_shared<NodeHost>(*this, i, random());
+    n.controller = std::make_unique<Controller>(*n.host, s);
+    n.controller->start();
+}
+
+void World::crash(int i, Micros back_after) {
+    Node& n = nodes_[static_cast<std::size_t>(i)];
+    if (!n.controller) return;
+    note("loom-" + std::to_string(i) + " ends");
+    n.host->alive = false;
+    n.controller.reset();
+    at(now_ + back_after, [this, i] {
+        if (nodes_[static_cast<std::size_t>(i)].controller) return;
+        note("loom-" + std::to_string(i) + " is back");
+        start_node(i);
+    });
+}
+
+int World::holder() {
+    for (int i = 0; i < node_count(); ++i)
+        if (node(i) && node(i)->leading()) return i;
+    return -1;
+}
+
+std::string World::add_machine(const std::string& type, const std::string& zone, bool spot) {
+    const std::string name = cloud_.rent_one(type, zone, spot, now_, 0);
+    boot_machines();
+    return name;
+}
+
+void World::boot_machines() {
+    for (auto& [name, m] : cloud_.machines()) {
+        if (m.up || m.up_at > now_) continue;
+        m.up = true;
+        m.info.state = CloudState::Running;
+        m.info.addr = "10.1.0." + std::to_string(workers_.size() + 1) + ":9000";
+        auto& r = workers_[name];
+        r.worker = std::make_unique<Worker>(name, m.info.addr, *cloud_.type(m.info.type), m.info.zone,
+                                            m.info.spot, settings.lease, settings.gang_wait, *this, now_);
+        r.node = static_cast<int>(random() % 3);
+        r.next = now_ + delay();
+    }
+}
+
+Worker* World::worker(const std::string& name) {
+    auto it = workers_.find(name);
+    return it == workers_.end() ? nullptr : it->second.worker.get();
+}
+
+std::vector<std::string> World::machine_names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, r] : workers_)
+        if (r.worker) names.push_back(name);
+    return names;
+}
+
+void World::kill_machine(const std::string& name) {
+    auto it = workers_.find(name);
+    if (it == workers_.end() || !it->second.worker) return;
+    note("machine " + name + " is gone");
+    it->second.worker.reset();
+}
+
+void World::hang(const std::string& name, bool on) {
+    auto& r = workers_[name];
+    if (!r.worker || r.hung == on) return;
+    note("machine " + name + (on ? " hangs" : " goes on"));
+    r.hung = on;
+    if (!on)
+        for (auto& w : std::exchange(r.waiting, {})) w();
+}
+
+void World::tick() {
+    at(now_ + kStep, [this] { tick(); });
+    boot_machines();
+    state_.expire(now_);
+    for (auto& [name, r] : workers_) {
+        if (!r.worker || r.hung) continue;
+        r.worker->advance(now_);
+        const bool due = now_ >= r.next || (r.worker->changed && now_ - r.last >= 500 * kMillisecond);
+        if (!r.in_flight && due) report(name);
+    }
+    for (auto& [ref, u] : users_) {
+        if (u.told != "cancelled" || now_ <= u.cancelled_at + settings.cancel) continue;
+        if (running(ref) > 0) breach("ran_cancelled", ref + " is still on a machine");
+    }
+}
+
+void World::report(const std::string& name) {
+    auto& r = workers_[name];
+    Worker& w = *r.worker;
+    const Micros sent = now_;
+    const auto session = w.session();
+    const auto generation = ++r.generation;
+    r.in_flight = true;
+    r.last = now_;
+    r.next = now_ + settings.report_every * 3 / 4 +
+             static_cast<Micros>(random() % 1000) * settings.report_every / 2000;
+    const std::string body = wire::encode(w.report(now_));
+    const int target = r.node;
+    const std::string host = "loom-" + std::to_string(target);
+    auto give_up = [this, name, generation](int next, Micros wait) {
+        auto& x = workers_[name];
+        if (!x.worker || x.generation != generation || !x.in_flight) return;
+        x.in_flight = false;
+        x.node = next;
+        x.next = now_ + wait;
+        x.last = now_ + wait - 500 * kMillisecond;
+    };
+    at(now_ + 4 * kSecond, [give_up, target] { give_up((target + 1) % 3, kSecond); });
+    if (!nodes_[static_cast<std::size_t>(target)].controller) {
+        at(now_ + delay(), [give_up, target] { give_up((target + 1) % 3, kSecond); });
+        return;
+    }
+    send(name, host, [this, name, host, target, session, sent, generation, body, give_up] {
+        Node& n = nodes_[static_cast<std::size_t>(target)];
+        if (!n.controller) return;
+        n.controller->handle({"POST", "/v1/report", body, false}, [=, this](const ApiResponse& a) {
+            send(host, name, [=, this] {
+                auto& x = workers_[name];
+                if (!x.worker || x.hung || x.generation != generation || !x.in_flight) return;
+                if (a.status == 200) {
+                    x.in_flight = false;
+                    x.worker->answered(a.body, session, sent, now_);
+                } else if (a.status == 421 && wire::text(a.body, "overseer")) {
+                    const std::string to = *wire::text(a.body, "overseer");
+                    give_up(std::atoi(to.c_str() + 5), static_cast<Micros>(random() % 500) * kMillisecond);
+                } else {
+                    give_up((target + 1) % 3, kSecond);
+                }
+            });
+        });
+    });
+}
+
+// ---------------------------------------------------------------- users
+
+JobSpec World::job(int number, JobKind kind, int tasks, double cores) {
+    JobSpec s;
+    char ref[32];
+    std::snprintf(ref, sizeof ref, "req-%06d", number);
+    s.ref = ref;
+    s.job_class = "class";
+    s.team = "red";
+    s.kind = kind;
+    s.rank = Rank::Normal;
+    s.tasks = tasks;
+    s.need = {static_cast<Milli>(cores * 1000), 0, static_cast<Milli>(cores * 2000)};
+    s.image = "img-" + std::to_string(number % 3);
+    s.image_gb = 500;
+    s.spot = true;
+    return s;
+}
+
+void World::submit(const JobSpec& spec, Micros run, Micros fetch) {
+    users_[spec.ref].info = {spec, run, fetch};
+    try_submit(spec.ref);
+}
+
+void World::cancel(const std::string& ref) {
+    users_[ref].wants_cancel = true;
+    try_cancel(ref);
+}
+
+void World::user_call(const std::string& method, const std::string& path, const Value& body,
+                      std::function<void(ApiResponse)> done) {
+    std::vector<int> up;
+    for (int i = 0; i < node_count(); ++i)
+        if (node(i)) up.push_back(i);
+    auto over = std::make_shared<bool>(false);
+    auto finish = [over, done = std::move(done)](const ApiResponse& r) {
+        if (!std::exchange(*over, true)) done(r);
+    };
+    at(now_ + 5 * kSecond, [finish] { finish({0, Value(), 0}); });
+    if (up.empty()) return;
+    const int target = up[random() % up.size()];
+    const std::string bytes = wire::encode(body);
+    at(now_ + delay(), [this, target, method, path, bytes, finish] {
+        if (!node(target)) return;
+        node(target)->handle({method, path, bytes, false}, [this, target, finish](const ApiResponse& r) {
+            at(now_ + delay(), [this, target, finish, r] {
+                if (node(target)) finish(r);
+            });
+        });
+    });
+}
+
+void World::try_submit(const std::string& ref) {
+    user_call("POST", "/v1/jobs", wire::job_value(users_[ref].info.spec), [this, ref](const ApiResponse& r) {
+        if (r.status == 200 || r.status == 201) {
+            hear(ref, r.status, r.body);
+            return poll(ref);
+        }
+        if (r.status == 400 || r.status == 422) return breach("forgotten", ref + " was refused");
+        at(now_ + kSecond, [this, ref] { try_submit(ref); });
+    });
+}
+
+void World::try_cancel(const std::string& ref) {
+    user_call("POST", "/v1/jobs/" + ref + "/abort", Value::object(), [this, ref](const ApiResponse& r) {
+        if (r.status == 200) return hear(ref, r.status, r.body);
+        at(now_ + kSecond, [this, ref] { try_cancel(ref); });
+    });
+}
+
+void World::poll(const std::string& ref) {
+    if (users_[ref].polling) return;
+    users_[ref].polling = true;
+    const Micros pause = kSecond + static_cast<Micros>(random() % 2000) * kMillisecond;
+    at(now_ + pause, [this, ref] {
+        users_[ref].polling = false;
+        user_call("GET", "/v1/jobs/" + ref, Value::object(), [this, ref](const ApiResponse& r) {
+            if (r.status == 404) breach("forgotten", ref + " was answered 404");
+            if (r.status == 200) hear(ref, 200, r.body);
+            poll(ref);
+        });
+    });
+}
+
+void World::hear(const std::string& ref, int status, const Value& body) {
+    User& u = users_[ref];
+    const std::string stage = wire::text(body, "stage").value_or("");
+    if ((u.told == "done" || u.told == "cancelled") && stage != u.told)
+        breach("went_back", ref + " was " + u.told + " and is now called " + stage);
+    if (stage == "done" && static_cast<int>(u.done.size()) < u.info.spec.tasks)
+        breach("not_done", ref + " is called done");
+    if (stage == "cancelled" && !u.wants_cancel) breach("went_back", ref + " was cancelled by nobody");
+    if (u.told.empty() || stage == "done" || stage == "cancelled") {
+        const std::string next = stage == "done" || stage == "cancelled" ? stage : "accepted";
+        if (u.told != next) note("user is told " + std::to_string(status) + ": " + ref + " is " + next);
+        if (next == "cancelled" && u.told != next) u.cancelled_at = now_;
+        u.told = next;
+    }
+}
+
+ApiResponse World::ask_raw(int i, const std::string& method, const std::string& path,
+                           const std::string& body) {
+    auto result = std::make_shared<std::optional<ApiResponse>>();
+    node(i)->handle({method, path, body, false}, [result](const ApiResponse& r) {
+        if (!*result) *result = r;
+    });
+    for (int n = 0; n < 500 && !*result; ++n) run(10 * kMillisecond);
+    return result->value_or(ApiResponse{0, Value(), 0});
+}
+
+ApiResponse World::ask(int i, const std::string& method, const std::string& path, const Value& body) {
+    return ask_raw(i, method, path, wire::encode(body));
+}
+
+std::string World::told(const std::string& ref) const {
+    auto it = users_.find(ref);
+    return it == users_.end() ? "" : it->second.told;
+}
+
+int World::running(const std::string& ref) const {
+    int n = 0;
+    for (const auto& [key, where] : on_)
+        if (key.first == ref) n += static_cast<int>(where.size());
+    return n;
+}
+
+std::set<std::string> World::machines_of(const std::string& ref) const {
+    std::set<std::string> names;
+    for (const auto& [key, where] : on_)
+        if (key.first == ref)
+            for (const auto& [machine, attempt] : where) names.insert(machine);
+    return names;
+}
+
+int World::starts(const std::string& ref) const {
+    auto it = users_.find(ref);
+    return it == users_.end() ? 0 : it->second.starts;
+}
+
+int World::completed_tasks(const std::string& ref) const {
+    auto it = users_.find(ref);
+    return it == users_.end() ? 0 : static_cast<int>(it->second.done.size());
+}
+
+// ---------------------------------------------------------------- the rules
+
+void World::note(const std::string& line) {
+    char time[32];
+    std::snprintf(time, sizeof time, "%9.3f ", static_cast<double>(now_) / 1e6);
+    trace.push_back(time + line);
+}
+
+std::string World::story(std::size_t last) const {
+    std::string out;
+    for (std::size_t i = trace.size() > last ? trace.size() - last : 0; i < trace.size(); ++i)
+        out += trace[i] + "\n";
+    return out;
+}
+
+void World::breach(const std::string& rule, const std::string& what) {
+    note("BROKEN " + rule + ": " + what);
+    broken.push_back(rule + ": " + what);
+}
+
+const JobInfo* World::job(const std::string& ref) {
+    auto it = users_.find(ref);
+    return it == users_.end() ? nullptr : &it->second.info;
+}
+
+void World::on_machine(const std::string& machine, const std::string& ref, int task, std::int64_t attempt) {
+    User& u = users_.at(ref);
+    const JobSpec& s = u.info.spec;
+    ++u.starts;
+    note(ref + "/" + std::to_string(task) + " attempt " + std::to_string(attempt) + " starts on " + machine);
+    auto& where = on_[{ref, task}];
+    if (!where.empty())
+        breach("ran_twice", ref + "/" + std::to_string(task) + " is on " + where.begin()->first);
+    where[machine] = attempt;
+    if (u.told == "cancelled" && now_ > u.cancelled_at + settings.cancel)
+        breach("ran_cancelled", ref + " starts on " + machine);
+    Milli used = 0;
+    std::map<std::string, int> zones;
+    for (const auto& [key, places] : on_) {
+        const JobSpec& other = users_.at(key.first).info.spec;
+        if (other.team == s.team) used += other.need.cores * static_cast<Milli>(places.size());
+        if (key.first == ref)
+            for (const auto& [name, a] : places) ++zones[worker(name)->zone()];
+    }
+    for (const auto& t : settings.teams)
+        if (t.name == s.team && used > t.limit.cores)
+            breach("quota", s.team + " uses " + std::to_string(used));
+    const Worker& w = *worker(machine);
+    const bool type_ok =
+        !s.types || std::find(s.types->begin(), s.types->end(), w.type().name) != s.types->end();
+    if (!type_ok || (s.zone && *s.zone != w.zone()) || (w.spot() && !s.spot) ||
+        (s.one_zone && zones.size() > 1) || (s.spread && zones[w.zone()] > (s.tasks + 1) / 2))
+        breach("wrong_place", ref + " on " + machine);
+}
+
+void World::off_machine(const std::string& machine, const std::string& ref, int task, std::int64_t attempt) {
+    note(ref + "/" + std::to_string(task) + " attempt " + std::to_string(attempt) + " leaves " + machine);
+    auto it = on_.find({ref, task});
+    if (it == on_.end()) return;
+    it->second.erase(machine);
+    if (it->second.empty()) on_.erase(it);
+}
+
+void World::completed(const std::string& ref, int task, std::int64_t attempt) {
+    User& u = users_.at(ref);
+    u.done.insert(task);
+    if (u.info.spec.kind == JobKind::Gang) {
+        finished_gangs_.insert({ref, attempt});
+        for (int i = 0; i < u.info.spec.tasks; ++i) u.done.insert(i);
+    }
+}
+
+bool World::gang_complete(const std::string& ref, std::int64_t attempt) {
+    const int tasks = users_.at(ref).info.spec.tasks;
+    for (int i = 0; i < tasks; ++i) {
+        auto it = on_.find({ref, i});
+        if (it == on_.end() || it->second.begin()->second != attempt) return false;
+    }
+    return true;
+}
+
+bool World::gang_whole(const std::string& ref, std::int64_t attempt) {
+    return finished_gangs_.count({ref, attempt}) || gang_complete(ref, attempt);
+}
+
+}  // namespace cottonway::test
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,142 @@
+#pragma once
+// A simulated world around real controllers: stand-ins for the outside systems, a network that delays, loses
+// and holds messages, and users who check every rule of the protocol as they go. Same seed, same run.
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/controller.hpp"
+#include "standin/standins.hpp"
+
+namespace cottonway::test {
+
+Settings small_site();
+std::vector<MachineType> small_types();
+
+class World : public standin::TaskObserver {
+  public:
+    explicit World(std::uint64_t seed, Settings settings = small_site());
+    ~World() override;
+
+    // Time.
+    Micros now() const { return now_; }
+    void run(Micros span);
+    void at(Micros when, std::function<void()> what);
+
+    // What the world consists of.
+    std::string add_machine(const std::string& type, const std::string& zone, bool spot = false);
+    void start_nodes(int count = 3);
+    void crash(int node, Micros back_after);
+    Controller* node(int i) { return nodes_[static_cast<std::size_t>(i)].controller.get(); }
+    int node_count() const { return static_cast<int>(nodes_.size()); }
+    int holder();  // index of the node that holds the domain and is active, or -1
+    standin::Worker* worker(const std::string& name);
+    standin::StateService& state() { return state_; }
+    standin::Cloud& cloud() { return cloud_; }
+    std::vector<std::string> machine_names() const;
+    void kill_machine(const std::string& name);
+    void hang(const std::string& name, bool on);
+
+    // The network. Hosts are "loom-0", "state", "cloud", machines' names and "users".
+    void cut(const std::string& a, const std::string& b);
+    void heal(const std::string& a, const std::string& b);
+    void heal_all();
+    /// 503 for this node alone.
+    void refuse(int node, bool on);
+    double loss = 0;
+
+    // Users.
+    JobSpec job(int number, JobKind kind, int tasks, double cores = 1);
+    void submit(const JobSpec& spec, Micros run, Micros fetch = 200 * kMillisecond);
+    void cancel(const std::string& ref);
+    ApiResponse ask(int node, const std::string& method, const std::string& path, const Value& body);
+    ApiResponse ask_raw(int node, const std::string& method, const std::string& path,
+                        const std::string& body);
+    std::string told(const std::string& ref) const;  // "", "accepted", "done" or "cancelled"
+    int running(const std::string& ref) const;
+    std::set<std::string> machines_of(const std::string& ref) const;
+    int starts(const std::string& ref) const;
+    int completed_tasks(const std::string& ref) const;
+
+    // The verdict.
+    std::vector<std::string> broken;
+    std::vector<std::string> trace;
+    void note(const std::string& line);
+    std::string story(std::size_t last = 60) const;
+
+    // TaskObserver.
+    const standin::JobInfo* job(const std::string& ref) override;
+    void on_machine(const std::string& machine, const std::string& ref, int task,
+                    std::int64_t attempt) override;
+    void off_machine(const std::string& machine, const std::string& ref, int task,
+                     std::int64_t attempt) override;
+    void completed(const std::string& ref, int task, std::int64_t attempt) override;
+    bool gang_complete(const std::string& ref, std::int64_t attempt) override;
+    bool gang_whole(const std::string& ref, std::int64_t attempt) override;
+
+    Settings settings;
+    std::mt19937_64 random;
+
+  private:
+    class NodeHost;
+    friend class NodeHost;
+    struct Node {
+        std::shared_ptr<NodeHost> host;
+        std::unique_ptr<Controller> controller;
+        bool refused = false;
+    };
+    struct Reporting {
+        std::unique_ptr<standin::Worker> worker;
+        int node = 0;
+        bool in_flight = false;
+        bool hung = false;
+        Micros next = 0;
+        Micros last = 0;
+        std::uint64_t generation = 0;
+        std::vector<std::function<void()>> waiting;  // what arrived while it hung
+    };
+    struct User {
+        standin::JobInfo info;
+        std::string told;
+        Micros cancelled_at = 0;
+        bool wants_cancel = false;
+        bool polling = false;
+        std::set<int> done;
+        int starts = 0;
+    };
+
+    void send(const std::string& from, const std::string& to, std::function<void()> deliver);
+    void tick();
+    void report(const std::string& machine);
+    void start_node(int i);
+    void boot_machines();
+    void try_submit(const std::string& ref);
+    void try_cancel(const std::string& ref);
+    void poll(const std::string& ref);
+    /// A user's request to some node that is up; calls back at most once, with status 0 after `timeout`.
+    void user_call(const std::string& method, const std::string& path, const Value& body,
+                   std::function<void(ApiResponse)> done);
+    void hear(const std::string& ref, int status, const Value& body);
+    void breach(const std::string& rule, const std::string& what);
+    Micros delay();
+
+    Micros now_ = 0;
+    std::uint64_t order_ = 0;
+    std::map<std::pair<Micros, std::uint64_t>, std::function<void()>> events_;
+    standin::StateService state_;
+    standin::Cloud cloud_;
+    std::vector<Node> nodes_;
+    std::map<std::string, Reporting> workers_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::vector<std::tuple<std::string, std::string, std::function<void()>>> held_;
+    std::map<std::string, User> users_;
+    std::map<std::pair<std::string, int>, std::map<std::string, std::int64_t>> on_;
+    std::set<std::pair<std::string, std::int64_t>> finished_gangs_;
+};
+
+}  // namespace cottonway::test
