A final record ends its job for the owner; gangs count until every task is gone

Cause: the echo of an older record brought a finished job back, and its final record was then taken as an ordinary one, so the job ran again (found by the random world).

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -199,6 +199,8 @@
         if (!value) return;
         const JobView view = JobView::of(*value, mark);
         const JobView* old = known(ref);
+        // News of our own earlier writes may come after their results: what is older than known is dropped.
+        if (old && old->mark > mark) return;
         if (!old || old->mark < mark) remember(ref, view);
         for (auto& [name, owner] : owners_)
             if (owner) owner->on_job(ref, *value, mark);
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -129,7 +129,7 @@
         if (wire::text(value, "dom") != domain_) return;
         const auto stage = wire::text(value, "s");
         const Value* spec = wire::find(value, "d");
-        if (!spec || stage == "done") return;
+        if (!spec || stage == "done") return;  // over, and all of it is gone
         auto parsed = wire::parse_job(*spec);
         if (!parsed.spec) {
             spdlog::error("job {}: its record is broken: {}", ref, parsed.error);
@@ -155,6 +155,8 @@
     Job& job = *it->second;
     // While a write of ours is under way its result will tell; a later record makes it fail.
     if (mark <= job.parts[0].mark || job.parts[0].in_flight || job.parts[0].reloading) return;
+    // A final record holds no tasks: taken as an ordinary one, the job would start all over again.
+    if (!wire::find(value, "d")) return drop_job(ref);
     adopt_part(job, 0, value, mark);
     context_.wake();
 }
@@ -178,6 +180,7 @@
 /// Takes a stored part as the truth about what is durable.
 void Owner::adopt_part(Job& job, std::size_t part, const Value& value, Revision mark) {
     job.parts[part].mark = mark;
+    const bool was_dirty = job.parts[part].dirty;
     const std::size_t first = part * kPartTasks;
     const std::size_t last = std::min(job.slots.size(), first + kPartTasks);
     job.next_attempt = std::max<std::int64_t>(job.next_attempt,
@@ -192,7 +195,7 @@
             }
         }
     }
-    std::set<std::size_t> listed;
+    job.parts[part].dirty = was_dirty;
     if (const Value* bindings = wire::find(value, "b"); bindings && bindings->is_array()) {
         for (const auto& b : *bindings) {
             if (!b.is_array() || b.size() != 3 || !b[0].is_number_integer() || !b[1].is_number_integer() ||
@@ -201,7 +204,6 @@
             const auto task = b[0].get<std::size_t>();
             const auto attempt = b[1].get<std::int64_t>();
             if (task < first || task >= last) continue;
-            listed.insert(task);
             Slot& slot = job.slots[task];
             if (slot.state == SlotState::Binding && slot.attempt == attempt) {
                 slot.state = SlotState::Bound;
@@ -458,7 +460,10 @@
     slot.retry_at = now + retry_in;
     if (job.idle == 1) job.waiting_since = now;
     dirty_.insert(job.spec.ref);
-    if (job.spec.kind == JobKind::Gang) settle_gang(job);
+    if (job.gang_done)
+        mark_done(job, task);
+    else if (job.spec.kind == JobKind::Gang)
+        settle_gang(job);
     context_.wake();
 }
 
@@ -497,7 +502,7 @@
 
 /// A gang that lost a task, or is being stopped, ends as a whole before it starts again.
 void Owner::settle_gang(Job& job) {
-    if (job.stage != Stage::Queued || job.gang_stopping || job.bound == 0) return;
+    if (job.stage != Stage::Queued || job.gang_stopping || job.gang_done || job.bound == 0) return;
     job.gang_stopping = true;
     for (auto& slot : job.slots)
         if (slot.state == SlotState::Binding || slot.state == SlotState::Bound) stop_slot(slot, 0);
@@ -512,8 +517,11 @@
     if (cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         mark_done(job, task);
         if (job.spec.kind == JobKind::Gang) {
-            // A gang completes together: if one task is done, all of them are.
-            for (std::size_t i = 0; i < job.slots.size(); ++i) mark_done(job, static_cast<int>(i));
+            // A gang completes together: if one task is done, all of them are. On a machine that is silent they
+            // still count until they are proven gone.
+            job.gang_done = true;
+            for (std::size_t i = 0; i < job.slots.size(); ++i)
+                if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
         }
         return;
     }
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -124,6 +124,7 @@
     Micros waiting_since = 0;
     bool within_guarantee = false;
     bool gang_stopping = false;
+    bool gang_done = false;  // one task is done, so all are; each counts until it is proven gone
 
     /// Tasks are stored in parts, since a value is limited; part 0 is the job record itself.
     struct Part {
--- a/src/standin/standins.cpp
+++ b/src/standin/standins.cpp
@@ -181,13 +181,16 @@
     changed = true;
 }
 
+void Worker::expire(Micros now) {
+    if (now - leased_from_ <= lease_) return;
+    kill_all();
+    ++session_;
+    leased_from_ = now;
+    changed = true;
+}
+
 void Worker::advance(Micros now) {
-    if (now - leased_from_ > lease_) {
-        kill_all();
-        ++session_;
-        leased_from_ = now;
-        changed = true;
-    }
+    expire(now);
     for (auto& t : tasks_) {
         const JobInfo* info = observer_.job(t.job);
         const std::string id = t.job + "/" + std::to_string(t.task);
--- a/src/standin/standins.hpp
+++ b/src/standin/standins.hpp
@@ -92,6 +92,8 @@
     Value report(Micros now);
     void answered(const Value& body, std::uint64_t session_then, Micros sent, Micros now);
     void advance(Micros now);
+    /// Ends the session if its lease is over; a machine that hangs does no more than that.
+    void expire(Micros now);
     void kill_all();
 
     std::uint64_t session() const { return session_; }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -106,7 +106,14 @@
     EXPECT_GT(begun, accepted / 4);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RulesHold, testing::Range(1, 17));
+/// WORLD_SEEDS="100 400" tries other seeds than the fixed ones.
+std::pair<int, int> seeds() {
+    int from = 1, to = 17;
+    if (const char* range = std::getenv("WORLD_SEEDS")) std::sscanf(range, "%d %d", &from, &to);
+    return {from, to};
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RulesHold, testing::Range(seeds().first, seeds().second));
 
 }  // namespace
 }  // namespace cottonway::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -123,7 +123,8 @@
 };
 
 World::World(std::uint64_t seed, Settings s) : settings(std::move(s)), random(seed), cloud_(small_types()) {
-    spdlog::set_level(spdlog::level::off);
+    // WORLD_LOG=1 prints the trace and the controllers' own log lines as they come.
+    spdlog::set_level(std::getenv("WORLD_LOG") ? spdlog::level::info : spdlog::level::off);
     cloud_.capacity = 0;
     cloud_.on_delete = [this](const std::string& name) { kill_machine(name); };
     at(0, [this] { tick(); });
@@ -279,7 +280,11 @@
     boot_machines();
     state_.expire(now_);
     for (auto& [name, r] : workers_) {
-        if (!r.worker || r.hung) continue;
+        if (!r.worker) continue;
+        if (r.hung) {
+            r.worker->expire(now_);
+            continue;
+        }
         r.worker->advance(now_);
         const bool due = now_ >= r.next || (r.worker->changed && now_ - r.last >= 500 * kMillisecond);
         if (!r.in_flight && due) report(name);
@@ -390,9 +395,9 @@
 }
 
 void World::try_submit(const std::string& ref) {
-    user_call("POST", "/v1/jobs", wire::job_value(users_[ref].info.spec), [this, ref](const ApiResponse& r) {
+    user_call("POST", "/v1/jobs", wire::job_value(users_[ref].info.spec), [this, ref, sent = now_](const ApiResponse& r) {
         if (r.status == 200 || r.status == 201) {
-            hear(ref, r.status, r.body);
+            hear(ref, sent, r.body);
             return poll(ref);
         }
         if (r.status == 400 || r.status == 422) return breach("forgotten", ref + " was refused");
@@ -401,8 +406,8 @@
 }
 
 void World::try_cancel(const std::string& ref) {
-    user_call("POST", "/v1/jobs/" + ref + "/abort", Value::object(), [this, ref](const ApiResponse& r) {
-        if (r.status == 200) return hear(ref, r.status, r.body);
+    user_call("POST", "/v1/jobs/" + ref + "/abort", Value::object(), [this, ref, sent = now_](const ApiResponse& r) {
+        if (r.status == 200) return hear(ref, sent, r.body);
         at(now_ + kSecond, [this, ref] { try_cancel(ref); });
     });
 }
@@ -413,27 +418,29 @@
     const Micros pause = kSecond + static_cast<Micros>(random() % 2000) * kMillisecond;
     at(now_ + pause, [this, ref] {
         users_[ref].polling = false;
-        user_call("GET", "/v1/jobs/" + ref, Value::object(), [this, ref](const ApiResponse& r) {
+        user_call("GET", "/v1/jobs/" + ref, Value::object(), [this, ref, sent = now_](const ApiResponse& r) {
             if (r.status == 404) breach("forgotten", ref + " was answered 404");
-            if (r.status == 200) hear(ref, 200, r.body);
+            if (r.status == 200) hear(ref, sent, r.body);
             poll(ref);
         });
     });
 }
 
-void World::hear(const std::string& ref, int status, const Value& body) {
+void World::hear(const std::string& ref, Micros sent, const Value& body) {
     User& u = users_[ref];
     const std::string stage = wire::text(body, "stage").value_or("");
-    if ((u.told == "done" || u.told == "cancelled") && stage != u.told)
+    // Only what was asked after the last answer had arrived can be older than it.
+    if ((u.told == "done" || u.told == "cancelled") && stage != u.told && sent > u.told_at)
         breach("went_back", ref + " was " + u.told + " and is now called " + stage);
     if (stage == "done" && static_cast<int>(u.done.size()) < u.info.spec.tasks)
         breach("not_done", ref + " is called done");
     if (stage == "cancelled" && !u.wants_cancel) breach("went_back", ref + " was cancelled by nobody");
     if (u.told.empty() || stage == "done" || stage == "cancelled") {
         const std::string next = stage == "done" || stage == "cancelled" ? stage : "accepted";
-        if (u.told != next) note("user is told " + std::to_string(status) + ": " + ref + " is " + next);
+        if (u.told != next) note("user is told: " + ref + " is " + next);
         if (next == "cancelled" && u.told != next) u.cancelled_at = now_;
-        u.told = next;
+        if (u.told != next) u.told_at = now_;
+        if (u.told.empty() || u.told == "accepted") u.told = next;
     }
 }
 
@@ -487,6 +494,7 @@
     char time[32];
     std::snprintf(time, sizeof time, "%9.3f ", static_cast<double>(now_) / 1e6);
     trace.push_back(time + line);
+    spdlog::info("{}", trace.back());
 }
 
 std::string World::story(std::size_t last) const {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -104,6 +104,7 @@
         standin::JobInfo info;
         std::string told;
         Micros cancelled_at = 0;
+        Micros told_at = 0;
         bool wants_cancel = false;
         bool polling = false;
         std::set<int> done;
@@ -121,7 +122,7 @@
     /// A user's request to some node that is up; calls back at most once, with status 0 after `timeout`.
     void user_call(const std::string& method, const std::string& path, const Value& body,
                    std::function<void(ApiResponse)> done);
-    void hear(const std::string& ref, int status, const Value& body);
+    void hear(const std::string& ref, Micros sent, const Value& body);
     void breach(const std::string& rule, const std::string& what);
     Micros delay();
 
