--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/controller.hpp"
 #include "log/log.hpp"
@@ -12,6 +13,8 @@
 constexpr Micros kTypesEvery = 60 * kSecond;
 constexpr std::size_t kMaxDelete = 100;
 constexpr int kMaxAtOnce = 10;
+constexpr Micros kForget = 60 * kSecond;  // a peak of demand halves in this time
+constexpr double kOrdinaryMargin = 1.1;
 }  // namespace
 
 Fleet::Fleet(Controller& controller)
@@ -69,6 +72,7 @@
     }
     for (auto& [name, rental] : rentals_)
         if (!rental.in_flight && now >= rental.not_before) send(rental);
+    weigh();
     reclaim();
     remove();
     rent();
@@ -120,6 +124,50 @@
     }
 }
 
+void Fleet::weigh() {
+    const Micros now = controller_.host().now();
+    const Settings& s = controller_.settings();
+    Owner* owner = controller_.owner("d0");
+    std::erase_if(booting_, [&](const auto& b) { return controller_.blocks().count(b.first) > 0; });
+    balance_ = Balance{};
+    auto add = [&](Milli cores, bool spot) {
+        balance_.total += cores;
+        if (!spot) balance_.ordinary += cores;
+    };
+    for (const auto& [name, m] : owner->machines())
+        if (m->type && !m->block.retired && !m->retiring && !m->notice)
+            add(m->type->size.cores, m->block.spot);
+    for (const auto& [name, b] : booting_)
+        if (const auto* type = controller_.machine_type(b.type)) add(type->size.cores, b.spot);
+    Milli limit = 0;
+    for (const auto& t : s.teams) limit += t.limit.cores;
+    Milli ordinary = 0, total = 0;
+    for (const auto& [ref, job] : owner->jobs()) {
+        if (job->stage != Stage::Queued) continue;
+        const Milli cores = job->spec.need.cores * (job->idle + job->bound);
+        total += cores;
+        if (!job->spec.spot) ordinary += cores;
+    }
+    // What was needed lately is needed again soon: the peak is forgotten slowly, since booting takes long.
+    const double kept = std::exp2(-static_cast<double>(now - weighed_at_) / static_cast<double>(kForget));
+    weighed_at_ = now;
+    peak_ordinary_ = std::max(static_cast<double>(ordinary), peak_ordinary_ * kept);
+    peak_total_ = std::max(static_cast<double>(total), peak_total_ * kept);
+    if (thrifty()) {
+        balance_.wanted_ordinary = static_cast<Milli>(peak_ordinary_ * kOrdinaryMargin);
+        balance_.wanted_total =
+            std::min(limit, std::max(balance_.wanted_ordinary, static_cast<Milli>(peak_total_)));
+    } else {
+        // Nobody asks what it costs: all that the teams may use.
+        balance_.wanted_total = limit;
+    }
+}
+
+bool Fleet::thrifty() const {
+    const Settings& s = controller_.settings();
+    return s.has_objective("price") || s.has_objective("useful");
+}
+
 // ---------------------------------------------------------------- returning
 
 void Fleet::reclaim() {
@@ -135,6 +183,15 @@
             owner->retire(name, "it was taken");
         else if (m->error_jobs.size() >= 3 && m->tasks.empty())
             owner->retire(name, "tasks of several jobs fail on it");
+        else if (thrifty() && m->tasks.empty() && m->type && now - leading_since_ > s.ops.idle_return &&
+                 now - m->idle_since > s.ops.idle_return) {
+            const Milli cores = m->type->size.cores;
+            if (balance_.total - cores < balance_.wanted_total) continue;
+            if (!m->block.spot && balance_.ordinary - cores < balance_.wanted_ordinary) continue;
+            balance_.total -= cores;
+            if (!m->block.spot) balance_.ordinary -= cores;
+            owner->retire(name, "it is idle");
+        }
     }
 }
 
@@ -178,28 +235,11 @@
     const Micros now = controller_.host().now();
     Owner* owner = controller_.owner("d0");
     if (now - leading_since_ < 3 * kSecond || now < pause_until_ || !rentals_.empty()) return;
-    std::erase_if(booting_, [&](const auto& b) { return controller_.blocks().count(b.first) > 0; });
-    const Settings& s = controller_.settings();
-    const bool thrifty = s.has_objective("price") || s.has_objective("useful");
-
-    // Capacity that is there or coming, and what is wanted, in cores.
-    Milli capacity = 0;
+    const bool need_ordinary = balance_.ordinary < balance_.wanted_ordinary;
+    if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
     std::map<std::string, int> per_zone;
-    for (const auto& [name, m] : owner->machines()) {
-        ++per_zone[m->block.zone];
-        if (m->type && !m->block.retired && !m->notice) capacity += m->type->size.cores;
-    }
-    for (const auto& [name, b] : booting_) {
-        ++per_zone[b.zone];
-        if (const auto* type = controller_.machine_type(b.type)) capacity += type->size.cores;
-    }
-    Milli limit = 0;
-    for (const auto& t : s.teams) limit += t.limit.cores;
-    Milli demand = 0;
-    for (const auto& [ref, job] : owner->jobs())
-        if (job->stage == Stage::Queued) demand += job->spec.need.cores * (job->idle + job->bound);
-    const Milli wanted = thrifty ? std::min(limit, demand + demand / 4) : limit;
-    if (capacity >= wanted) return;
+    for (const auto& [name, m] : owner->machines()) ++per_zone[m->block.zone];
+    for (const auto& [name, b] : booting_) ++per_zone[b.zone];
 
     // The cheapest core first; among equals the zone with the fewest machines.
     struct Offer {
@@ -212,6 +252,7 @@
     for (const auto& t : controller_.types())
         for (const auto& zone : t.zones)
             for (const bool spot : {false, true}) {
+                if (spot && need_ordinary) continue;
                 const Shape shape{t.name, zone, spot};
                 if (auto r = refused_until_.find(shape); r != refused_until_.end() && now < r->second)
                     continue;
@@ -224,8 +265,10 @@
     const auto best = std::min_element(offers.begin(), offers.end(), [](const Offer& a, const Offer& b) {
         return std::tuple(a.price, a.crowd) < std::tuple(b.price, b.crowd);
     });
-    const auto missing = static_cast<int>((wanted - capacity + best->cores - 1) / best->cores);
-    order(best->shape, std::clamp(missing, 1, thrifty ? 3 : kMaxAtOnce));
+    const Milli short_of =
+        need_ordinary ? balance_.wanted_ordinary - balance_.ordinary : balance_.wanted_total - balance_.total;
+    const auto missing = static_cast<int>((short_of + best->cores - 1) / best->cores);
+    order(best->shape, std::clamp(missing, 1, kMaxAtOnce));
 }
 
 void Fleet::order(const Shape& shape, int count) {
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -45,6 +45,15 @@
         auto operator<=>(const Shape&) const = default;
     };
 
+    /// Cores that are there or coming, and cores that are wanted; ordinary machines also by themselves, since
+    /// some work may not use spot ones.
+    struct Balance {
+        Milli ordinary = 0;
+        Milli total = 0;
+        Milli wanted_ordinary = 0;
+        Milli wanted_total = 0;
+    };
+    void weigh();
     void list(const std::string& since);
     void on_listed(const CloudMachine& m);
     void rent();
@@ -52,6 +61,7 @@
     void send(Rental& rental);
     void reclaim();
     void remove();
+    bool thrifty() const;
     bool call(Call call, ReplyHandler done);
 
     Controller& controller_;
@@ -71,7 +81,10 @@
     std::map<Shape, int> refusals_;
     std::set<std::string> deleted_;
     std::map<std::string, Micros> doomed_;  // never reported: to be deleted
-    Micros short_since_ = 0;
+    Balance balance_;
+    double peak_ordinary_ = 0;
+    double peak_total_ = 0;
+    Micros weighed_at_ = 0;
 };
 
 }  // namespace cottonway
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -517,8 +517,8 @@
     if (cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         mark_done(job, task);
         if (job.spec.kind == JobKind::Gang) {
-            // A gang completes together: if one task is done, all of them are. On a machine that is silent they
-            // still count until they are proven gone.
+            // A gang completes together: if one task is done, all of them are. On a machine that is silent
+            // they still count until they are proven gone.
             job.gang_done = true;
             for (std::size_t i = 0; i < job.slots.size(); ++i)
                 if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -210,6 +210,8 @@
     bool plan_gang(Job& job, std::vector<Candidate>& candidates, std::vector<Machine*>& machines);
     void preempt(Job& job);
     std::vector<Candidate> candidates_for(const Job& job, std::vector<Machine*>& machines);
+    std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
+                             const std::vector<Machine*>& machines);
     void drain_noticed();
 
     void flush_jobs();
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -44,6 +44,20 @@
     return list;
 }
 
+/// What may run on spot machines leaves the ordinary ones to what may not, as long as there is room.
+std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
+                                const std::vector<Machine*>& machines) {
+    const auto& settings = context_.settings().ops.placement;
+    if (job.spec.spot) {
+        std::vector<Candidate> spot;
+        for (const auto& c : open)
+            if (machines[c.index]->block.spot) spot.push_back(c);
+        const auto chosen = place(spot, job.spec.need, settings, context_.host().random());
+        if (chosen >= 0) return chosen;
+    }
+    return place(open, job.spec.need, settings, context_.host().random());
+}
+
 void Owner::plan() {
     const Micros now = context_.host().now();
     // A job lies within its team's guarantee if it fits into it together with the team's earlier jobs.
@@ -114,8 +128,7 @@
             // Replicas are kept apart beyond what the job asks for.
             if (job.spec.kind == JobKind::Service) open.back().penalty = 25.0 * there;
         }
-        const auto chosen =
-            place(open, job.spec.need, context_.settings().ops.placement, context_.host().random());
+        const auto chosen = place_for(job, open, machines);
         if (chosen < 0) return false;
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
         bind(job, static_cast<int>(i), m, job.next_attempt++);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -34,15 +34,15 @@
 
 /// Weights and thresholds of placement; the defaults are those of docs/design.md.
 struct PlacementSettings {
-    double cores_weight = 40;
-    double ram_weight = 20;
-    double free_ram_weight = 20;
-    double size_weight = 5;
-    double tasks_weight = 15;
+    double cores_weight = -40;
+    double ram_weight = -20;
+    double free_ram_weight = -20;
+    double size_weight = -5;
+    double tasks_weight = -15;
     double image_weight = 30;
     double jitter = 1;
-    double cores_threshold = 0.95;
-    double ram_threshold = 0.90;
+    double cores_threshold = 1.0;
+    double ram_threshold = 1.0;
 };
 
 struct OperatorSettings {
