--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -15,6 +15,7 @@
 constexpr int kMaxAtOnce = 10;
 constexpr Micros kForget = 60 * kSecond;  // a peak of demand halves in this time
 constexpr double kOrdinaryMargin = 1.1;
+constexpr double kMargin = 1.0;
 }  // namespace
 
 Fleet::Fleet(Controller& controller)
@@ -73,6 +74,7 @@
     for (auto& [name, rental] : rentals_)
         if (!rental.in_flight && now >= rental.not_before) send(rental);
     weigh();
+    log_balance();
     reclaim();
     remove();
     rent();
@@ -153,19 +155,21 @@
     weighed_at_ = now;
     peak_ordinary_ = std::max(static_cast<double>(ordinary), peak_ordinary_ * kept);
     peak_total_ = std::max(static_cast<double>(total), peak_total_ * kept);
-    if (thrifty()) {
-        balance_.wanted_ordinary = static_cast<Milli>(peak_ordinary_ * kOrdinaryMargin);
-        balance_.wanted_total =
-            std::min(limit, std::max(balance_.wanted_ordinary, static_cast<Milli>(peak_total_)));
-    } else {
-        // Nobody asks what it costs: all that the teams may use.
-        balance_.wanted_total = limit;
-    }
+    balance_.wanted_ordinary = static_cast<Milli>(peak_ordinary_ * kOrdinaryMargin);
+    balance_.wanted_total =
+        std::min(limit, std::max(balance_.wanted_ordinary, static_cast<Milli>(peak_total_ * kMargin)));
 }
 
-bool Fleet::thrifty() const {
-    const Settings& s = controller_.settings();
-    return s.has_objective("price") || s.has_objective("useful");
+/// At most every ten seconds, so that the log shows why machines come and go.
+void Fleet::log_balance() {
+    const Micros now = controller_.host().now();
+    if (now - logged_at_ < 10 * kSecond) return;
+    logged_at_ = now;
+    int idle = 0;
+    for (const auto& [name, m] : controller_.owner("d0")->machines()) idle += m->tasks.empty();
+    spdlog::info("fleet: {} of {} cores wanted are there or coming, ordinary {} of {}; {} machines idle",
+                 balance_.total / 1000, balance_.wanted_total / 1000, balance_.ordinary / 1000,
+                 balance_.wanted_ordinary / 1000, idle);
 }
 
 // ---------------------------------------------------------------- returning
@@ -183,7 +187,7 @@
             owner->retire(name, "it was taken");
         else if (m->error_jobs.size() >= 3 && m->tasks.empty())
             owner->retire(name, "tasks of several jobs fail on it");
-        else if (thrifty() && m->tasks.empty() && m->type && now - leading_since_ > s.ops.idle_return &&
+        else if (m->tasks.empty() && m->type && now - leading_since_ > s.ops.idle_return &&
                  now - m->idle_since > s.ops.idle_return) {
             const Milli cores = m->type->size.cores;
             if (balance_.total - cores < balance_.wanted_total) continue;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -54,6 +54,7 @@
         Milli wanted_total = 0;
     };
     void weigh();
+    void log_balance();
     void list(const std::string& since);
     void on_listed(const CloudMachine& m);
     void rent();
@@ -61,7 +62,6 @@
     void send(Rental& rental);
     void reclaim();
     void remove();
-    bool thrifty() const;
     bool call(Call call, ReplyHandler done);
 
     Controller& controller_;
@@ -85,6 +85,7 @@
     double peak_ordinary_ = 0;
     double peak_total_ = 0;
     Micros weighed_at_ = 0;
+    Micros logged_at_ = 0;
 };
 
 }  // namespace cottonway
