--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -13,9 +13,9 @@
 constexpr Micros kTypesEvery = 60 * kSecond;
 constexpr std::size_t kMaxDelete = 100;
 constexpr int kMaxAtOnce = 10;
-constexpr Micros kForget = 60 * kSecond;  // a peak of demand halves in this time
+constexpr Micros kForget = 120 * kSecond;  // a peak of demand halves in this time
 constexpr double kOrdinaryMargin = 1.1;
-constexpr double kMargin = 1.0;
+constexpr double kMargin = 1.3;
 }  // namespace
 
 Fleet::Fleet(Controller& controller)
@@ -155,9 +155,12 @@
     weighed_at_ = now;
     peak_ordinary_ = std::max(static_cast<double>(ordinary), peak_ordinary_ * kept);
     peak_total_ = std::max(static_cast<double>(total), peak_total_ * kept);
-    balance_.wanted_ordinary = static_cast<Milli>(peak_ordinary_ * kOrdinaryMargin);
-    balance_.wanted_total =
-        std::min(limit, std::max(balance_.wanted_ordinary, static_cast<Milli>(peak_total_ * kMargin)));
+    // Spot machines are cheap: all that the teams may use. Ordinary ones: what work needs that may not use
+    // spot, and what spot machines don't cover of the rest.
+    const auto spot = static_cast<double>(balance_.total - balance_.ordinary);
+    balance_.wanted_ordinary = std::min(
+        limit, static_cast<Milli>(std::max(peak_ordinary_ * kOrdinaryMargin, peak_total_ * kMargin - spot)));
+    balance_.wanted_total = limit;
 }
 
 /// At most every ten seconds, so that the log shows why machines come and go.
@@ -190,8 +193,9 @@
         else if (m->tasks.empty() && m->type && now - leading_since_ > s.ops.idle_return &&
                  now - m->idle_since > s.ops.idle_return) {
             const Milli cores = m->type->size.cores;
-            if (balance_.total - cores < balance_.wanted_total) continue;
-            if (!m->block.spot && balance_.ordinary - cores < balance_.wanted_ordinary) continue;
+            if (m->block.spot ? balance_.total - cores < balance_.wanted_total
+                              : balance_.ordinary - cores < balance_.wanted_ordinary)
+                continue;
             balance_.total -= cores;
             if (!m->block.spot) balance_.ordinary -= cores;
             owner->retire(name, "it is idle");
@@ -239,7 +243,9 @@
     const Micros now = controller_.host().now();
     Owner* owner = controller_.owner("d0");
     if (now - leading_since_ < 3 * kSecond || now < pause_until_ || !rentals_.empty()) return;
-    const bool need_ordinary = balance_.ordinary < balance_.wanted_ordinary;
+    // Spot machines are tried first; what they can't cover is what ordinary ones are wanted for.
+    const bool need_ordinary =
+        balance_.ordinary < balance_.wanted_ordinary && now - leading_since_ > 6 * kSecond;
     if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
     std::map<std::string, int> per_zone;
     for (const auto& [name, m] : owner->machines()) ++per_zone[m->block.zone];
@@ -256,7 +262,7 @@
     for (const auto& t : controller_.types())
         for (const auto& zone : t.zones)
             for (const bool spot : {false, true}) {
-                if (spot && need_ordinary) continue;
+                if (spot == need_ordinary) continue;
                 const Shape shape{t.name, zone, spot};
                 if (auto r = refused_until_.find(shape); r != refused_until_.end() && now < r->second)
                     continue;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -90,9 +90,7 @@
     });
     for (Job* job : order) {
         if (plan_job(*job)) continue;
-        if (job->spec.rank <= Rank::High || job->within_guarantee) {
-            if (now - job->waiting_since > 200 * kMillisecond) preempt(*job);
-        }
+        if (now - job->waiting_since > 200 * kMillisecond) preempt(*job);
     }
 }
 
@@ -200,6 +198,14 @@
 void Owner::preempt(Job& job) {
     if (!quota_allows(job, 1)) return;
     const Micros now = context_.host().now();
+    // Stopping work that cannot save itself throws it away. Services may always do that; others only when
+    // their deadline is near, or when a guarantee has been waited for.
+    const std::int64_t now_ms = context_.host().wall_ms();
+    const bool late = job.spec.deadline && now_ms + (job.spec.estimate * 5 / 4 + 3 * kSecond) / kMillisecond >
+                                               job.submitted_ms + *job.spec.deadline / kMillisecond;
+    const bool may_waste = job.spec.rank == Rank::Production || (job.spec.rank == Rank::High && late);
+    const bool reclaims = job.within_guarantee && now - job.waiting_since > 2 * kSecond;
+    if (job.spec.rank > Rank::High && !reclaims) return;
     std::map<std::string, int> per_zone;
     for (const auto& slot : job.slots)
         if (slot.machine) ++per_zone[slot.machine->block.zone];
@@ -229,9 +235,8 @@
                 continue;
             }
             if (other.spec.kind == JobKind::Gang) continue;
-            const bool lower = other.spec.rank > job.spec.rank;
-            const bool reclaim =
-                job.within_guarantee && !other.within_guarantee && other.spec.team != job.spec.team;
+            const bool lower = other.spec.rank > job.spec.rank && (may_waste || other.spec.checkpoint > 0);
+            const bool reclaim = reclaims && !other.within_guarantee && other.spec.team != job.spec.team;
             if (!lower && !reclaim) continue;
             if (other.spec.kind == JobKind::Service && !reclaim) continue;
             const double ran = slot.run_since ? static_cast<double>(now - slot.run_since) / 1e6 : 0.0;
