--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -44,18 +44,23 @@
     return list;
 }
 
-/// What may run on spot machines leaves the ordinary ones to what may not, as long as there is room.
+/// The five steps over a part of the machines first, where a part is clearly better: those that have the
+/// image, for urgent work, since a fetch takes longer than anything else in a start; spot machines, for what
+/// may use them, since that leaves the ordinary ones to what may not.
 std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
                                 const std::vector<Machine*>& machines) {
-    const auto& settings = context_.settings().ops.placement;
-    if (job.spec.spot) {
-        std::vector<Candidate> spot;
+    const bool urgent = job.spec.rank <= Rank::High;
+    auto pass = [&](bool image, bool spot) {
+        std::vector<Candidate> part;
         for (const auto& c : open)
-            if (machines[c.index]->block.spot) spot.push_back(c);
-        const auto chosen = place(spot, job.spec.need, settings, context_.host().random());
-        if (chosen >= 0) return chosen;
-    }
-    return place(open, job.spec.need, settings, context_.host().random());
+            if ((!image || c.has_image) && (!spot || machines[c.index]->block.spot)) part.push_back(c);
+        return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
+    };
+    std::ptrdiff_t chosen = -1;
+    if (urgent && job.spec.spot) chosen = pass(true, true);
+    if (chosen < 0 && urgent) chosen = pass(true, false);
+    if (chosen < 0 && job.spec.spot) chosen = pass(false, true);
+    return chosen < 0 ? pass(false, false) : chosen;
 }
 
 void Owner::plan() {
