--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -44,24 +44,23 @@
     return list;
 }
 
-/// The five steps over the best class of machines that can hold the task. Classes, most important first: it
-/// has the image, for urgent work, since a fetch takes longer than anything else in a start; it is a spot
-/// machine, for what may use one, since that leaves the ordinary ones to what may not; it is in use already,
-/// since that leaves whole machines to wide tasks and to being returned.
+/// The five steps over a part of the machines first, where a part is clearly better: those that have the
+/// image, for urgent work, since a fetch takes longer than anything else in a start; spot machines, for what
+/// may use them, since that leaves the ordinary ones to what may not.
 std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
                                 const std::vector<Machine*>& machines) {
-    auto class_of = [&](const Candidate& c) {
-        const bool image = c.has_image || job.spec.rank > Rank::High;
-        const bool spot = machines[c.index]->block.spot || !job.spec.spot;
-        return (image ? 0 : 4) + (spot ? 0 : 2) + (c.tasks > 0 ? 0 : 1);
+    const bool urgent = job.spec.rank <= Rank::High;
+    auto pass = [&](bool image, bool spot) {
+        std::vector<Candidate> part;
+        for (const auto& c : open)
+            if ((!image || c.has_image) && (!spot || machines[c.index]->block.spot)) part.push_back(c);
+        return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
     };
-    int best = 8;
-    for (const auto& c : open)
-        if (job.spec.need.fits(c.size - c.booked)) best = std::min(best, class_of(c));
-    std::vector<Candidate> part;
-    for (const auto& c : open)
-        if (class_of(c) == best) part.push_back(c);
-    return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
+    std::ptrdiff_t chosen = -1;
+    if (urgent && job.spec.spot) chosen = pass(true, true);
+    if (chosen < 0 && urgent) chosen = pass(true, false);
+    if (chosen < 0 && job.spec.spot) chosen = pass(false, true);
+    return chosen < 0 ? pass(false, false) : chosen;
 }
 
 void Owner::plan() {
