--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -463,6 +463,7 @@
     // Names of types that don't exist would only fill the record.
     if (spec.types) std::erase_if(*spec.types, [&](const std::string& t) { return !machine_type(t); });
     const std::string ref = spec.ref;
+    const std::string what = spec.job_class + ", " + std::to_string(spec.tasks) + " tasks for " + spec.team;
     Value record{{"s", "queued"},
                  {"dom", kDomain},
                  {"k", spec.tasks},
@@ -474,24 +475,24 @@
     change.when.push_back({keys::job + ref, 0});
     change.then.push_back({keys::job + ref, record});
     change.urgent = true;
-    store_.commit(
-        std::move(change), [this, ref, record, respond = std::move(respond)](const CommitResult& r) mutable {
-            switch (r.status) {
-                case CommitStatus::Ok:
-                    apply(keys::job + ref, &record, r.revision);
-                    spdlog::info("job {}: accepted", ref);
-                    return respond({201, wire::job_answer(ref, "pending")});
-                case CommitStatus::Conflict:
-                case CommitStatus::Unknown:
-                    return recheck(ref, 0, [ref, respond](bool ok, const std::optional<JobView>& view) {
-                        if (!ok || !view) return respond(unavailable());
-                        respond({200, wire::job_answer(ref, stage_name(*view))});
-                    });
-                case CommitStatus::Unavailable:
-                case CommitStatus::Rejected:
-                    return respond(unavailable());
-            }
-        });
+    store_.commit(std::move(change), [this, ref, record, what,
+                                      respond = std::move(respond)](const CommitResult& r) mutable {
+        switch (r.status) {
+            case CommitStatus::Ok:
+                apply(keys::job + ref, &record, r.revision);
+                spdlog::info("job {}: accepted: {}", ref, what);
+                return respond({201, wire::job_answer(ref, "pending")});
+            case CommitStatus::Conflict:
+            case CommitStatus::Unknown:
+                return recheck(ref, 0, [ref, respond](bool ok, const std::optional<JobView>& view) {
+                    if (!ok || !view) return respond(unavailable());
+                    respond({200, wire::job_answer(ref, stage_name(*view))});
+                });
+            case CommitStatus::Unavailable:
+            case CommitStatus::Rejected:
+                return respond(unavailable());
+        }
+    });
 }
 
 void Controller::poll(const std::string& ref, ApiResponder respond) {
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -582,6 +582,7 @@
             slot->launch_sent = true;
             if (slot->phase != Phase::Running && t.phase == Phase::Running) {
                 slot->run_since = now;
+                spdlog::debug("task {}/{}: runs on {}", t.job, t.task, m.block.machine);
                 std::erase_if(m.images, [&](const auto& i) { return i.first == job->spec.image; });
                 m.images.emplace_back(job->spec.image, job->spec.image_gb);
                 Milli total = 0;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -89,10 +89,21 @@
     auto due = [](const Job* j) {
         return j->spec.deadline ? j->submitted_ms + *j->spec.deadline / kMillisecond : INT64_MAX;
     };
-    std::stable_sort(order.begin(), order.end(), [&](const Job* a, const Job* b) {
-        return std::tuple(a->spec.rank, !a->within_guarantee, due(a)) <
-               std::tuple(b->spec.rank, !b->within_guarantee, due(b));
+    // Among equals the least work left goes first, so that one wide array does not hold up many small jobs;
+    // waiting makes up for size, so that none waits for ever.
+    const std::int64_t now_ms = context_.host().wall_ms();
+    auto weight = [&](const Job* j) {
+        const auto left = static_cast<double>(j->idle + j->bound) *
+                          static_cast<double>(std::max<Milli>(j->spec.need.cores, 1));
+        return left / static_cast<double>(std::max<std::int64_t>(now_ms - j->submitted_ms, 0) + 10'000);
+    };
+    std::vector<std::pair<double, Job*>> weighed;
+    for (Job* j : order) weighed.emplace_back(weight(j), j);
+    std::stable_sort(weighed.begin(), weighed.end(), [&](const auto& a, const auto& b) {
+        return std::tuple(a.second->spec.rank, !a.second->within_guarantee, due(a.second), a.first) <
+               std::tuple(b.second->spec.rank, !b.second->within_guarantee, due(b.second), b.first);
     });
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].second;
     for (Job* job : order) {
         if (plan_job(*job)) continue;
         if (now - job->waiting_since > 200 * kMillisecond) preempt(*job);
