A new holder no longer stops tasks whose jobs it has not read yet

Cause, found by the trace of a restart of all: answers to /do that came in while the jobs were being read were applied at once, so running tasks were taken for strays and stopped.

--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -107,8 +107,8 @@
 
 bool Owner::usable(const Machine& m) const {
     const Micros now = context_.host().now();
-    return m.type && m.session > 0 && m.token_seen >= token(m) && !m.block.retired && !m.retiring &&
-           !m.notice && now >= m.avoid_until && m.strays.empty() &&
+    return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.block.retired && !m.retiring && !m.notice &&
+           now >= m.avoid_until && m.strays.empty() &&
            now - m.heard < context_.settings().report_every * 5 / 2 + kSecond;
 }
 
@@ -544,6 +544,16 @@
     gone(job, task, retry);
 }
 
+/// A message that arrives while the jobs are still being read: its tasks can't be told from strays yet, and
+/// must not be stopped as such. Only the session and the token count.
+void Owner::greet(Machine& m, const Report& r) {
+    if (r.session < m.session) return;
+    if (r.session > m.session) m.seq = 0;
+    m.session = r.session;
+    m.token_seen = std::max(m.token_seen, r.token);
+    m.heard = context_.host().now();
+}
+
 /// Applies a worker's message; `is_report` tells a report from the answer to a /do.
 void Owner::absorb(Machine& m, const Report& r, bool is_report) {
     const Micros now = context_.host().now();
@@ -654,7 +664,10 @@
         return std::nullopt;
     }
     if (!authorised || report.session < m.min_session) return std::nullopt;
-    if (active_) absorb(m, report, true);
+    if (active_)
+        absorb(m, report, true);
+    else
+        greet(m, report);
     m.answered = std::max(m.answered, context_.host().now());
     Answer answer{token(m), {}};
     if (active_ && report.session == m.session && report.seq == m.seq) answer.orders = orders_for(m, false);
@@ -718,7 +731,7 @@
     for (auto& [name, owned] : machines_) {
         Machine& m = *owned;
         if (m.direct_in_flight || now < m.direct_after || m.block.addr.empty()) continue;
-        const bool show_token = m.token_seen < token(m);
+        const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
         if (show_token && m.session == 0) {
             // The session is not known yet: ask for the worker's report first.
             m.direct_in_flight = true;
@@ -769,8 +782,13 @@
             x.direct_backoff = 0;
             x.direct_after = 0;
             if (report->token > token(x)) return context_.ousted(domain_);
-            absorb(x, *report, false);
-            if (r.status == 409) x.direct_after = context_.host().now() + 100 * kMillisecond;
+            if (active_)
+                absorb(x, *report, false);
+            else
+                greet(x, *report);
+            // Asked again, if it must be, but not at once: what it tells may be no use for a while.
+            if (r.status == 409 || x.seq == 0 || x.token_seen < token(x))
+                x.direct_after = context_.host().now() + 200 * kMillisecond;
             // Answered: what the worker does not show was not started and will not be.
             for (const auto& key : launched) {
                 auto job = jobs_.find(key.job);
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -190,6 +190,7 @@
     bool usable(const Machine& m) const;
     Micros proof_time(const Machine& m) const;
 
+    void greet(Machine& m, const Report& report);
     void absorb(Machine& m, const Report& report, bool is_report);
     void absent(Machine& m, Job& job, int task, const Report& report, bool is_report);
     void exited(Machine& m, Job& job, int task, ExitCause cause);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -18,8 +18,21 @@
     return c;
 }
 
+/// The weights and thresholds of the summary; the defaults have been tuned since.
+PlacementSettings summary() {
+    PlacementSettings s;
+    s.cores_weight = 40;
+    s.ram_weight = 20;
+    s.free_ram_weight = 20;
+    s.size_weight = 5;
+    s.tasks_weight = 15;
+    s.cores_threshold = 0.95;
+    s.ram_threshold = 0.90;
+    return s;
+}
+
 std::set<std::ptrdiff_t> choices(const std::vector<Candidate>& list, const Resources& need,
-                                 PlacementSettings settings = {}) {
+                                 PlacementSettings settings = summary()) {
     std::mt19937_64 random(7);
     std::set<std::ptrdiff_t> out;
     for (int i = 0; i < 300; ++i) out.insert(place(list, need, settings, random));
@@ -53,7 +66,7 @@
 TEST(Placement, Step4TakesTheLowestScore) {
     EXPECT_EQ(choices({machine(0, 8000, 4000, 4), machine(1, 8000, 0, 0)}, {1000, 0, 0}),
               std::set<std::ptrdiff_t>{1});
-    PlacementSettings pack;
+    PlacementSettings pack = summary();
     pack.cores_weight = -40;
     pack.ram_weight = -20;
     pack.free_ram_weight = -20;
