--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -13,6 +13,8 @@
 constexpr Micros kTypesEvery = 60 * kSecond;
 constexpr std::size_t kMaxDelete = 100;
 constexpr int kMaxAtOnce = 10;
+// A dead machine is listed as failed before this; one that is only cut off comes back, with its images.
+constexpr Micros kSilent = 90 * kSecond;
 constexpr Micros kForget = 120 * kSecond;  // a peak of demand halves in this time
 constexpr double kOrdinaryMargin = 1.1;
 constexpr double kMargin = 1.3;
@@ -184,7 +186,7 @@
     for (const auto& [name, m] : owner->machines()) {
         if (m->block.retired || m->retiring) continue;
         const Micros silent = owner->silent_for(*m);
-        if (m->tasks.empty() && now - leading_since_ > s.lease && silent > s.lease + 20 * kSecond)
+        if (m->tasks.empty() && now - leading_since_ > s.lease && silent > s.lease + kSilent)
             owner->retire(name, "it is silent");
         else if (m->notice && now > m->notice_end + 10 * kSecond && m->tasks.empty() && silent > 5 * kSecond)
             owner->retire(name, "it was taken");
