--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -48,7 +48,7 @@
 struct OperatorSettings {
     PlacementSettings placement;
     Micros live_ttl = 2'500 * kMillisecond;
-    Micros idle_return = 90 * kSecond;
+    Micros idle_return = 30 * kSecond;
     std::string log_level;
 };
 
