--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -12,6 +12,7 @@
 constexpr Micros kListEvery = 4 * kSecond;
 constexpr Micros kTypesEvery = 60 * kSecond;
 constexpr std::size_t kMaxDelete = 100;
+constexpr std::size_t kMaxDeleted = 10'000;
 constexpr int kMaxAtOnce = 10;
 // A dead machine is listed as failed before this; one that is only cut off comes back, with its images.
 constexpr Micros kSilent = 90 * kSecond;
@@ -224,6 +225,7 @@
         Owner* owner = controller_.owner("d0");
         for (const auto& name : names) {
             deleted_.insert(name);
+            if (deleted_.size() > kMaxDeleted) deleted_.erase(deleted_.begin());  // names come in order
             doomed_.erase(name);
             booting_.erase(name);
             auto block = controller_.blocks().find(name);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -146,6 +146,15 @@
             --open_;
         }
     }
+    if (!connection && open_ >= total_) {
+        // Connections kept for addresses that are not called any more must not use up the sockets.
+        for (auto it = pools_.begin(); it != pools_.end() && open_ >= total_; ++it) {
+            if (it->second.idle.empty()) continue;
+            it->second.idle.back()->close();
+            it->second.idle.pop_back();
+            --open_;
+        }
+    }
     if (!connection) {
         if (pool.busy >= per_address_ || open_ >= total_) {
             asio::post(io_, [done = std::move(done)] { done(ClientReply{}); });
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -91,6 +91,23 @@
     EXPECT_EQ(s.server->open(), 0u);
 }
 
+TEST(Http, KeptConnectionsGiveWayToNewAddresses) {
+    Server first, second;
+    net::HttpClient client(first.io, 2, 1);
+    int answered = 0;
+    for (auto* s : {&first, &second}) {
+        client.call(s->at, "GET", "/", "", kSecond,
+                    [&](const net::ClientReply& r) { answered += r.status == 200; });
+        for (int i = 0; i < 10; ++i) {
+            first.io.restart();
+            first.io.run_for(std::chrono::milliseconds(10));
+            second.io.restart();
+            second.io.run_for(std::chrono::milliseconds(10));
+        }
+    }
+    EXPECT_EQ(answered, 2);
+}
+
 TEST(Http, AnUnansweredCallEndsInTime) {
     asio::io_context io;
     tcp::acceptor silent(io, tcp::endpoint(tcp::v4(), 0));
