--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -78,6 +78,7 @@
         if (!rental.in_flight && now >= rental.not_before) send(rental);
     weigh();
     log_balance();
+    drain();
     reclaim();
     remove();
     rent();
@@ -180,6 +181,26 @@
 
 // ---------------------------------------------------------------- returning
 
+/// Surplus ordinary machines that batch work keeps busy are emptied, the least used one first, one at a time.
+void Fleet::drain() {
+    Owner* owner = controller_.owner("d0");
+    const Machine* draining = nullptr;
+    const Machine* best = nullptr;
+    for (const auto& [name, m] : owner->machines()) {
+        if (m->block.spot || m->block.retired || !m->type) continue;
+        if (m->draining) draining = m.get();
+        if (balance_.ordinary - m->type->size.cores < balance_.wanted_ordinary || !owner->passing(*m))
+            continue;
+        if (!best || m->booked.cores < best->booked.cores) best = m.get();
+    }
+    if (draining) {
+        if (balance_.ordinary - draining->type->size.cores < balance_.wanted_ordinary)
+            owner->drain(draining->block.machine, false);
+    } else if (best && controller_.host().now() - leading_since_ > controller_.settings().ops.idle_return) {
+        owner->drain(best->block.machine, true);
+    }
+}
+
 void Fleet::reclaim() {
     const Micros now = controller_.host().now();
     const Settings& s = controller_.settings();
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -60,6 +60,7 @@
     void rent();
     void order(const Shape& shape, int count);
     void send(Rental& rental);
+    void drain();
     void reclaim();
     void remove();
     bool call(Call call, ReplyHandler done);
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -105,10 +105,24 @@
     return context_.host().now() - std::max(m.heard, m.known_since);
 }
 
+void Owner::drain(const std::string& machine, bool on) {
+    auto it = machines_.find(machine);
+    if (it == machines_.end() || it->second->draining == on) return;
+    it->second->draining = on;
+    spdlog::info("machine {}: {}", machine, on ? "surplus, nothing new is bound to it" : "needed again");
+}
+
+bool Owner::passing(const Machine& m) const {
+    return std::all_of(m.tasks.begin(), m.tasks.end(), [&](const auto& key) {
+        const JobSpec& s = jobs_.at(key.first)->spec;
+        return s.kind == JobKind::Array && s.spot;
+    });
+}
+
 bool Owner::usable(const Machine& m) const {
     const Micros now = context_.host().now();
-    return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.block.retired && !m.retiring && !m.notice &&
-           now >= m.avoid_until && m.strays.empty() &&
+    return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.block.retired && !m.retiring &&
+           !m.draining && !m.notice && now >= m.avoid_until && m.strays.empty() &&
            now - m.heard < context_.settings().report_every * 5 / 2 + kSecond;
 }
 
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -82,6 +82,7 @@
     Micros direct_backoff = 0;
     bool bumping = false;
     bool retiring = false;
+    bool draining = false;  // nothing new is bound to it
     Micros idle_since = 0;
     Micros avoid_until = 0;
     int errors = 0;
@@ -180,6 +181,9 @@
     const std::map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
     void retire(const std::string& machine, const char* why);
     Micros silent_for(const Machine& m) const;
+    void drain(const std::string& machine, bool on);
+    /// Whether everything on it ends by itself before long and could have run elsewhere.
+    bool passing(const Machine& m) const;
     Value status() const;
     /// Room that placement would consider for a job on a machine.
     bool allowed(const Job& job, const Machine& m) const;
