--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -16,9 +16,9 @@
 constexpr int kMaxAtOnce = 10;
 // A dead machine is listed as failed before this; one that is only cut off comes back, with its images.
 constexpr Micros kSilent = 90 * kSecond;
-constexpr Micros kForget = 60 * kSecond;  // a peak of demand halves in this time
+constexpr Micros kForget = 120 * kSecond;  // a peak of demand halves in this time
 constexpr double kOrdinaryMargin = 1.1;
-constexpr double kMargin = 1.1;
+constexpr double kMargin = 1.3;
 }  // namespace
 
 Fleet::Fleet(Controller& controller)
