--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -114,13 +114,11 @@
         return;
     }
     if (leased) return;
-    auto known = booting_.find(m.name);
-    if (known == booting_.end()) {
+    if (!booting_.count(m.name)) {
         // Rented by another term, or by a request that was carried out late.
-        known = booting_.emplace(m.name, Booting{m.type, m.zone, m.spot, now - m.age}).first;
+        booting_.emplace(m.name, Booting{m.type, m.zone, m.spot});
         spdlog::info("machine {}: in the cloud's list, not reporting yet", m.name);
     }
-    known->second.since = std::min(known->second.since, now - m.age);
     const MachineType* type = controller_.machine_type(m.type);
     const Micros boot = type ? type->boot : 60 * kSecond;
     // Far beyond its type's time: it will hardly come up, and it is charged all the while.
@@ -313,7 +311,6 @@
     r.zone = shape.zone;
     r.spot = shape.spot;
     r.count = count;
-    r.since = controller_.host().now();
     auto& held = rentals_[r.name] = r;
     send(held);
 }
@@ -336,7 +333,7 @@
             spdlog::info("rented {} of {} {} in {}{}", names->size(), x.count, x.type, x.zone,
                          x.spot ? ", spot" : "");
             for (const auto& n : *names)
-                if (!controller_.blocks().count(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot, now});
+                if (!controller_.blocks().count(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
             if (static_cast<int>(names->size()) < x.count)
                 refused_until_[shape] = now + 15 * kSecond;
             else
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -29,14 +29,12 @@
         int count = 0;
         bool in_flight = false;
         Micros not_before = 0;
-        Micros since = 0;
     };
     /// Rented and not reporting yet.
     struct Booting {
         std::string type;
         std::string zone;
         bool spot = false;
-        Micros since = 0;
     };
     struct Shape {
         std::string type;
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -45,11 +45,7 @@
 }
 
 Owner::Owner(OwnerContext& context, std::string domain, Revision mark, Micros former_authority_end)
-    : context_(context),
-      domain_(std::move(domain)),
-      mark_(mark),
-      acquired_(context.host().now()),
-      former_end_(former_authority_end) {}
+    : context_(context), domain_(std::move(domain)), mark_(mark), former_end_(former_authority_end) {}
 
 Owner::~Owner() {
     *alive_ = false;
@@ -86,6 +82,12 @@
     machines_.erase(it);
 }
 
+void Owner::forget_strays(Machine& m) {
+    for (const auto& s : m.strays)
+        if (--stray_tasks_[{s.job, s.task}] <= 0) stray_tasks_.erase({s.job, s.task});
+    m.strays.clear();
+}
+
 void Owner::void_machine(Machine& m, const char* why) {
     if (!m.tasks.empty())
         spdlog::info("machine {}: {} tasks are gone: {}", m.block.machine, m.tasks.size(), why);
@@ -93,9 +95,7 @@
         auto job = jobs_.find(ref);
         if (job != jobs_.end()) gone(*job->second, task, 0);
     }
-    for (const auto& s : m.strays)
-        if (--stray_tasks_[{s.job, s.task}] <= 0) stray_tasks_.erase({s.job, s.task});
-    m.strays.clear();
+    forget_strays(m);
     m.exited.clear();
     m.taints.clear();
     m.answer_launches.clear();
@@ -290,9 +290,7 @@
         for (std::size_t p = job.parts.size(); p-- > 0;) {
             auto& part = job.parts[p];
             // Part 0 says that the job is over, so it goes last, after the others are durable.
-            const bool over = job.stage == Stage::Cancelled
-                                  ? job.bound == 0
-                                  : job.spec.kind != JobKind::Service && job.done == job.spec.tasks;
+            const bool over = job.over();
             if (p == 0 && over && !waiting) part.dirty = true;
             if (!part.dirty) continue;
             waiting = true;
@@ -318,10 +316,7 @@
 void Owner::write_part(Job& job, std::size_t index) {
     const std::string ref = job.spec.ref;
     auto& part = job.parts[index];
-    const bool over = job.stage == Stage::Cancelled
-                          ? job.bound == 0
-                          : job.spec.kind != JobKind::Service && job.done == job.spec.tasks;
-    const bool final_record = index == 0 && over;
+    const bool final_record = index == 0 && job.over();
     Change change;
     // Write ahead: on the records as we know them, so that no ousted holder binds and no cancelled job is
     // bound.
@@ -546,7 +541,6 @@
         retry = kSecond << std::min(slot.errors - 1, 5);
         if (slot.errors <= 2) {
             m.error_jobs.insert(job.spec.ref);
-            ++m.errors;
             m.avoid_until = now + (m.error_jobs.size() >= 2 ? 60 * kSecond : 5 * kSecond);
         }
         spdlog::info("task {}/{}: failed on {}, {} errors", job.spec.ref, task, m.block.machine, slot.errors);
@@ -589,9 +583,7 @@
     std::erase_if(m.taints, [&](const auto& t) { return r.token > t.second.token; });
     if (is_report) std::erase_if(m.answer_launches, [&](const auto& l) { return r.seq > l.second; });
 
-    for (const auto& s : m.strays)
-        if (--stray_tasks_[{s.job, s.task}] <= 0) stray_tasks_.erase({s.job, s.task});
-    m.strays.clear();
+    forget_strays(m);
     m.exited.clear();
     std::set<std::pair<std::string, int>> shown;
     for (const auto& t : r.tasks) {
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -85,7 +85,6 @@
     bool draining = false;  // nothing new is bound to it
     Micros idle_since = 0;
     Micros avoid_until = 0;
-    int errors = 0;
     std::set<std::string> error_jobs;
     std::vector<std::pair<std::string, Milli>> images;  // most recent last
 };
@@ -136,6 +135,15 @@
         Micros not_before = 0;
     };
     std::vector<Part> parts;
+
+    /// Nothing of it is left to run, to stop or to wait for.
+    bool over() const {
+        return stage == Stage::Cancelled ? bound == 0 : spec.kind != JobKind::Service && done == spec.tasks;
+    }
+    /// How many of its tasks may be in one zone.
+    int zone_cap() const { return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks; }
+    /// Its tasks by zone, with old attempts that are still on machines, in doubt or stopping.
+    std::map<std::string, int> zones() const;
 };
 
 /// What the owner needs of the controller around it.
@@ -199,6 +207,7 @@
     void absent(Machine& m, Job& job, int task, const Report& report, bool is_report);
     void exited(Machine& m, Job& job, int task, ExitCause cause);
     void gone(Job& job, int task, Micros retry_in);
+    void forget_strays(Machine& m);
     void void_machine(Machine& m, const char* why);
     bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const;
 
@@ -232,7 +241,6 @@
     OwnerContext& context_;
     std::string domain_;
     Revision mark_;
-    Micros acquired_;
     Micros former_end_;
     bool active_ = false;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -8,6 +8,13 @@
 
 namespace cottonway {
 
+std::map<std::string, int> Job::zones() const {
+    std::map<std::string, int> count;
+    for (const auto& slot : slots)
+        if (slot.machine) ++count[slot.machine->block.zone];
+    return count;
+}
+
 bool Owner::allowed(const Job& job, const Machine& m) const {
     const JobSpec& s = job.spec;
     if (m.block.spot && !s.spot) return false;
@@ -85,7 +92,7 @@
                     sum.cores <= team.guarantee.cores && sum.cards <= team.guarantee.cards;
     }
     std::erase_if(order, [](const Job* j) { return j->idle == 0; });
-    // Highest rank first, then what is guaranteed, then the nearest deadline, then the earliest.
+    // Highest rank first, then what is guaranteed, then the nearest deadline.
     auto due = [](const Job* j) {
         return j->spec.deadline ? j->submitted_ms + *j->spec.deadline / kMillisecond : INT64_MAX;
     };
@@ -117,11 +124,8 @@
     std::vector<Candidate> candidates = candidates_for(job, machines);
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
 
-    // Zones in use, with old attempts that are still on machines, in doubt or stopping.
-    std::map<std::string, int> per_zone;
-    for (const auto& slot : job.slots)
-        if (slot.machine) ++per_zone[slot.machine->block.zone];
-    const int zone_cap = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
+    std::map<std::string, int> per_zone = job.zones();
+    const int zone_cap = job.zone_cap();
     bool all = true;
     for (std::size_t i = 0; i < job.slots.size(); ++i) {
         Slot& slot = job.slots[i];
@@ -175,7 +179,7 @@
                 zones.push_back(m->block.zone);
         std::shuffle(zones.begin(), zones.end(), context_.host().random());
     }
-    const int zone_cap = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
+    const int zone_cap = job.zone_cap();
     for (const auto& zone : zones) {
         std::vector<Candidate> trial = candidates;
         std::map<std::string, int> per_zone;
@@ -222,10 +226,8 @@
     const bool may_waste = job.spec.rank == Rank::Production || (job.spec.rank == Rank::High && late);
     const bool reclaims = job.within_guarantee && now - job.waiting_since > 2 * kSecond;
     if (job.spec.rank > Rank::High && !reclaims) return;
-    std::map<std::string, int> per_zone;
-    for (const auto& slot : job.slots)
-        if (slot.machine) ++per_zone[slot.machine->block.zone];
-    const int zone_cap = job.spec.spread ? (job.spec.tasks + 1) / 2 : job.spec.tasks;
+    const std::map<std::string, int> per_zone = job.zones();
+    const int zone_cap = job.zone_cap();
     struct Victim {
         Slot* slot;
         Job* job;
