--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // Controller: one node. It admits and answers users on the strength of the store, holds domains, sends
-// workers to the holder of their block, and, as the leader, leases blocks and deals with the cloud.
+// workers to the holder of their block or helps them reach it, and, as the leader, leases blocks and deals
+// with the cloud.
 
 #include <list>
 #include <map>
@@ -13,6 +14,8 @@
 #include "core/fleet.hpp"
 #include "core/host.hpp"
 #include "core/owner.hpp"
+#include "core/records.hpp"
+#include "peer/messages.hpp"
 #include "settings/settings.hpp"
 #include "state/store.hpp"
 
@@ -53,6 +56,8 @@
     void start();
     /// Requests of users, workers and the load balancer.
     void handle(ApiRequest request, ApiResponder respond);
+    /// A packed message of another controller; answered with "" if there is nothing to say.
+    void handle_peer(const std::string& bytes, std::function<void(std::string)> respond);
     Value status();
 
     Host& host() override { return host_; }
@@ -61,42 +66,122 @@
     const MachineType* machine_type(const std::string& name) override;
     void ousted(const std::string& domain) override;
     void wake() override;
+    Resources share(const std::string& domain, const std::string& team) const override;
+    std::optional<Micros> peer_ended(std::size_t peer) const override;
+    void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
+                      std::function<void(bool)> done) override;
+
+    /// A job that is not over, as the store has it.
+    struct LiveJob {
+        Value record;
+        Revision mark = 0;
+        std::string domain;
+        Milli cores = 0;  // of one task
+        int tasks = 0;
+        int done = 0;
+        bool spot = false;
+        bool cancelled = false;
+        std::map<std::size_t, std::pair<Value, Revision>> parts;
+    };
+    struct Domain {
+        std::string holder;
+        Revision mark = 0;
+    };
 
     // For the fleet.
     const std::map<std::string, Block>& blocks() const { return blocks_; }
-    Owner* owner(const std::string& domain);
+    const Block* block_of(const std::string& machine) const;
+    const std::map<std::string, LiveJob>& live_jobs() const { return live_jobs_; }
+    const std::map<std::string, std::unique_ptr<Owner>>& owners() const { return owners_; }
+    const std::map<std::string, Domain>& domains() const { return domains_; }
+    const std::set<std::string>& alive() const { return live_; }
+    Owner* owner(const std::string& domain) const;
     bool leading() const;
+    Revision term() const { return leader_.mark; }
     const std::vector<MachineType>& types() const { return types_; }
-    void refresh_types(std::vector<MachineType> types) { types_ = std::move(types); }
-    void lease_block(Block block, std::function<void(bool)> done);
+    /// Machines that are in no block yet, to be leased soon.
+    void lease_machine(const Block::Machine& machine, const std::string& type, const std::string& zone,
+                       bool spot, std::function<void()> done);
+    bool leasing(const std::string& machine) const { return unleased_.count(machine) > 0; }
+    /// Marks a machine as to be returned, whoever holds it.
+    void retire_machine(const std::string& machine);
+    /// Takes deleted machines out of their records.
+    void forget_machines(const std::vector<std::string>& machines);
+    /// The balance that the leader last told, or our own.
+    peer::FleetBalance balance() const;
+    Milli capacity_of(const std::string& domain) const;
+
     /// How long a holder may answer after its last confirmation without a cancellation being missed too long.
     Micros authority() const;
 
   private:
-    struct Domain {
-        std::string holder;
-        Revision mark = 0;
-    };
-
+    // ---- lifecycle, in controller.cpp
     void tick();
     void fetch_types();
     void join();
     void renew();
     void announce();
     void load();
-    void watch();
+    void sync();
+    void synced(Micros sent);
+    /// Calls back once a look at the store that was begun after now has been taken in; false: none was for
+    /// long.
+    void after_sync(std::function<void(bool)> done);
     void apply(const std::string& key, const Value* value, Revision mark);
+    void apply_job(const std::string& ref, const Value& value, Revision mark);
+    void apply_part(const std::string& name, const Value* value, Revision mark);
+    void apply_block(const std::string& id, const Value* value, Revision mark);
+    void apply_live(const std::string& name, bool alive);
+    void apply_domain(const std::string& name, const Value& value, Revision mark);
     void step();
     void consider_domains();
-    void acquire(const std::string& name);
+    void consider_leader();
+    void acquire(const std::string& name, bool create);
+    void activate(const std::string& name, Revision mark);
+    void lead();
+    void hand_over();
     bool authorised() const;
+    std::size_t rank_among_live(const std::string& what) const;
+    std::size_t machines_at(const std::string& node) const;
+
+    // ---- records of blocks and shares, in blocks.cpp
+    struct BlockEdit {
+        std::function<bool(Block&)> change;  // false: nothing to change (any more)
+        std::function<void(bool)> done;
+    };
+    struct BlockEdits {
+        std::vector<BlockEdit> waiting;
+        bool in_flight = false;
+        Micros not_before = 0;
+    };
+    struct Unleased {
+        Block::Machine machine;
+        std::string type;
+        std::string zone;
+        bool spot = false;
+        bool in_flight = false;
+        Micros since = 0;
+        std::vector<std::function<void()>> done;
+    };
+    void edit_block(const std::string& id, BlockEdit edit);
+    void flush_edits();
+    void flush_edits(const std::string& id, BlockEdits& edits);
+    void lease_blocks();
+    void lease_block(Block block, std::vector<std::string> machines);
+    void first_shares();
+    std::vector<std::string> target_domains() const;
+    bool spread_out() const;
+    void give_machines(Owner& from, const peer::Want& want, std::function<void(peer::Granted)> done);
+    void commit_surely(Change change, std::function<void(const CommitResult&)> done, bool uncertain = false);
+    void give_share(Owner& from, const peer::ShareWant& want, std::function<void(peer::Granted)> done);
 
+    // ---- users, in users.cpp
     void submit(const Value& body, ApiResponder respond);
     void create(JobSpec spec, ApiResponder respond);
+    std::string domain_for(const JobSpec& spec) const;
     void poll(const std::string& ref, ApiResponder respond);
     void abort(const std::string& ref, int tries, ApiResponder respond);
-    void report(const Value& body, ApiResponder respond);
-    void unknown_machine(const Report& report, ApiResponder respond);
+    void cancel(const std::string& ref, Value record, Revision mark, int tries, ApiResponder respond);
     /// A job's state as the store has it now; no view: never accepted. `ok` false: nothing is known.
     void check(const std::string& ref, std::function<void(bool ok, std::optional<JobView>)> done);
     void recheck(const std::string& ref, int tries, std::function<void(bool, std::optional<JobView>)> done);
@@ -105,27 +190,93 @@
     static ApiResponse unavailable(int retry_after = 1);
     enum class Verdict { Fits, Never, NotYet };
     Verdict judge(const JobSpec& spec) const;
+    bool out_of_reach() const;
+
+    // ---- workers and peers, in peers.cpp
+    void report(const std::string& bytes, ApiResponder respond);
+    void unknown_machine(const Report& r, ApiResponder respond);
+    void help(const Report& r, const Block& block, const std::string& bytes, ApiResponder respond);
+    void relay(const Report& r, std::size_t peer, const std::string& bytes, ApiResponder respond);
+    void stand_in(const Report& r, const Block& block, const ApiResponder& respond);
+    void gossip();
+    void renounce();
+    void ask_for_more();
+    void call_peer(std::size_t peer, std::string bytes, Micros timeout,
+                   std::function<void(const Reply&)> done);
+    void heard_state(const peer::State& state);
+    peer::State own_state() const;
+    peer::Renounced promise(const peer::Renounce& ask);
+    std::optional<std::size_t> peer_named(const std::string& node) const;
+    bool peer_reachable(std::size_t peer) const;
+    const peer::DomainLoad* load_of(const std::string& domain) const;
 
     Host& host_;
     Settings settings_;
     Store store_;
     Fleet fleet_;
     std::vector<MachineType> types_;
+    Micros started_ = 0;
     std::uint64_t lease_ = 0;
     bool announced_ = false;
     bool loaded_ = false;
     bool waking_ = false;
-    bool acquiring_ = false;
+    Micros sync_every_ = 0;
     Revision ledger_ = 0;
-    Micros confirmed_ = 0;  // when the last watch that was answered was sent
+    Micros confirmed_ = 0;  // when the last look at the store that was answered was sent
+    struct Waiter {
+        Micros since = 0;
+        std::function<void(bool)> done;
+    };
+    std::list<Waiter> waiters_;
+
     std::set<std::string> live_;
+    std::map<std::string, Micros> live_since_;
+    std::map<std::string, Micros> dead_since_;
+    Domain leader_;
+    Revision led_mark_ = 0;  // of the leadership that this process took, 0: none
+    bool lead_ready_ = false;
+    bool taking_lead_ = false;
+    Micros leaderless_since_ = 0;
     std::map<std::string, Domain> domains_;
+    std::map<std::string, Micros> orphaned_since_;
+    std::set<std::string> acquiring_;
+    Micros handed_over_at_ = 0;
     std::map<std::string, Block> blocks_;
+    std::unordered_map<std::string, std::string> block_of_;  // machine -> block
+    std::map<std::string, std::pair<Shares, Revision>> shares_;
+    std::map<std::string, Shares> giving_;  // parts of our shares that are being given away
+    std::set<std::string> share_busy_;
+    bool sharing_first_ = false;
+    std::map<std::string, LiveJob> live_jobs_;
     std::map<std::string, std::unique_ptr<Owner>> owners_;
     std::vector<std::unique_ptr<Owner>> retired_owners_;
     std::list<std::string> recent_;
     std::unordered_map<std::string, std::pair<JobView, std::list<std::string>::iterator>> views_;
-    std::set<std::string> leasing_;
+    std::map<std::string, BlockEdits> edits_;
+    std::map<std::string, Unleased> unleased_;
+    Micros leased_at_ = 0;
+    std::uint64_t block_counter_ = 0;
+
+    struct PeerInfo {
+        Micros answered = 0;
+        bool asking = false;
+        bool renouncing = false;
+        bool wanting = false;
+        bool sharing = false;
+        std::optional<peer::State> state;
+        Micros told = 0;
+    };
+    std::vector<PeerInfo> peers_;
+    struct Visit {
+        Micros sent_on = 0;        // when it was last sent to its holder
+        Micros renewed = 0;        // when its lease was last renewed from here on the holder's behalf
+        Micros refused_until = 0;  // promised not to
+    };
+    std::unordered_map<std::string, Visit> visits_;
+    Micros summed_up_ = 0;
+    Micros gossiped_ = 0;
+    Micros renounced_ = 0;
+    Micros asked_for_more_ = 0;
 };
 
 }  // namespace cottonway
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -11,9 +11,11 @@
 namespace {
 constexpr Micros kListEvery = 4 * kSecond;
 constexpr Micros kTypesEvery = 60 * kSecond;
+constexpr Micros kReclaimEvery = 2 * kSecond;
 constexpr std::size_t kMaxDelete = 100;
 constexpr std::size_t kMaxDeleted = 10'000;
-constexpr int kMaxAtOnce = 10;
+constexpr int kMaxAtOnce = 50;
+constexpr std::size_t kMaxRentals = 4;
 // A dead machine is listed as failed before this; one that is only cut off comes back, with its images.
 constexpr Micros kSilent = 90 * kSecond;
 constexpr Micros kForget = 120 * kSecond;  // a peak of demand halves in this time
@@ -25,9 +27,10 @@
     : controller_(controller),
       budget_(controller.settings().cloud_rps * 0.8, std::max(1.0, controller.settings().cloud_rps)) {}
 
-bool Fleet::call(Call c, ReplyHandler done) {
+/// `reserve` requests are left over for what is more urgent.
+bool Fleet::call(Call c, double reserve, ReplyHandler done) {
     Host& host = controller_.host();
-    if (host.now() < pause_until_ || budget_.take(host.now(), 1) > 0) return false;
+    if (host.now() < pause_until_ || budget_.take(host.now(), 1, reserve) > 0) return false;
     c.target = Target::Cloud;
     c.timeout = 4 * kSecond;
     host.call(std::move(c), [this, done = std::move(done)](const Reply& r) {
@@ -41,6 +44,14 @@
 
 void Fleet::tick() {
     const Micros now = controller_.host().now();
+    if (holding_since_ == 0) holding_since_ = now;
+    const bool reclaims = now - reclaimed_at_ > kReclaimEvery;
+    if (reclaims) reclaimed_at_ = now;
+    for (const auto& [name, owner] : controller_.owners()) {
+        if (!owner || !owner->active()) continue;
+        if (reclaims) drain(*owner);
+        reclaim(*owner, reclaims);
+    }
     if (!controller_.leading()) {
         was_leading_ = false;
         return;
@@ -48,14 +59,18 @@
     if (!was_leading_) {
         was_leading_ = true;
         leading_since_ = now;
-        // Rental names hold the token, which no other term shares, so none is ever used twice.
-        term_ = controller_.owner("d0")->mark();
+        // Rental names hold the mark of the leader's term, which no other term shares, so none is ever used
+        // twice.
+        term_ = controller_.term();
         rentals_.clear();
         booting_.clear();
         doomed_.clear();
+        first_listed_.clear();
+        peak_ordinary_ = peak_total_ = 0;
     }
     if (!listing_ && now - listed_at_ > kListEvery) {
         listed_at_ = now;
+        listing_now_.clear();
         list("");
     }
     if (now - types_at_ > kTypesEvery) {
@@ -63,7 +78,7 @@
         Call c;
         c.method = "GET";
         c.path = "/machine_types";
-        call(std::move(c), [this](const Reply& r) {
+        call(std::move(c), 1, [this](const Reply& r) {
             auto types = r.status == 200 ? wire::parse_types(r.body) : std::nullopt;
             // Only prices change; machines hold pointers to the types, so they are changed in place.
             if (types)
@@ -78,8 +93,6 @@
         if (!rental.in_flight && now >= rental.not_before) send(rental);
     weigh();
     log_balance();
-    drain();
-    reclaim();
     remove();
     rent();
 }
@@ -91,24 +104,32 @@
     Call c;
     c.method = "GET";
     c.path = "/machines?" + (since.empty() ? std::string() : "since=" + since + "&") + "page=500";
-    const bool sent = call(std::move(c), [this](const Reply& r) {
-        listing_ = false;
-        auto page = r.status == 200 ? wire::parse_machines(r.body) : std::nullopt;
-        if (!page || !controller_.leading()) return;
-        for (const auto& m : page->machines) on_listed(m);
-        if (page->more && !page->machines.empty()) list(page->machines.back().name);
-    });
-    if (!sent) listing_ = false;
+    // Reading the list must not keep rentals and deletions waiting.
+    const bool sent =
+        call(std::move(c), std::min(1.0, controller_.settings().cloud_rps / 4), [this](const Reply& r) {
+            listing_ = false;
+            auto page = r.status == 200 ? wire::parse_machines(r.body) : std::nullopt;
+            if (!page || !controller_.leading()) return;
+            for (const auto& m : page->machines) on_listed(m);
+            if (page->more && !page->machines.empty()) return list(page->machines.back().name);
+            list_complete();
+        });
+    if (!sent)
+        controller_.host().after(200 * kMillisecond, [this, since] {
+            if (!since.empty() && controller_.leading()) return list(since);
+            listing_ = false;
+        });
 }
 
 void Fleet::on_listed(const CloudMachine& m) {
     const Micros now = controller_.host().now();
+    listing_now_.insert(m.name);
     if (deleted_.count(m.name)) return;  // the list is late
-    Owner* owner = controller_.owner("d0");
-    const bool leased = controller_.blocks().count(m.name) > 0;
+    first_listed_.try_emplace(m.name, now);
+    const bool leased = controller_.block_of(m.name) != nullptr;
     if (m.state == CloudState::Failed) {
         if (leased)
-            owner->retire(m.name, "it has failed");
+            retire(m.name, "it has failed");
         else
             doomed_.emplace(m.name, now);
         return;
@@ -117,40 +138,76 @@
     if (!booting_.count(m.name)) {
         // Rented by another term, or by a request that was carried out late.
         booting_.emplace(m.name, Booting{m.type, m.zone, m.spot});
-        spdlog::info("machine {}: in the cloud's list, not reporting yet", m.name);
+        spdlog::debug("machine {}: in the cloud's list, not leased yet", m.name);
     }
+    // Up and with an address: leased at once, so that its first report finds its holder.
+    if (m.state == CloudState::Running && !m.addr.empty() && !doomed_.count(m.name))
+        controller_.lease_machine({m.name, m.addr, 0, false, false}, m.type, m.zone, m.spot, nullptr);
     const MachineType* type = controller_.machine_type(m.type);
     const Micros boot = type ? type->boot : 60 * kSecond;
     // Far beyond its type's time: it will hardly come up, and it is charged all the while.
-    if (m.age > 3 * boot + 30 * kSecond && now - leading_since_ > 20 * kSecond) {
+    if (m.state == CloudState::Starting && m.age > 3 * boot + 30 * kSecond &&
+        now - leading_since_ > 20 * kSecond) {
         spdlog::info("machine {}: has not come up, to be returned", m.name);
         doomed_.emplace(m.name, now);
     }
 }
 
+/// A machine that was listed stays listed until it is gone. A list may be as old as twice its lag, so what
+/// was first listed long before that and is missing now is gone: its deletion, which does no harm, proves it,
+/// and ends the doubt about its tasks much sooner than their lease would.
+void Fleet::list_complete() {
+    const Micros now = controller_.host().now();
+    const Micros settled = 3 * controller_.settings().list_lag + 2 * kSecond;
+    for (auto it = first_listed_.begin(); it != first_listed_.end();) {
+        const std::string& name = it->first;
+        if (listing_now_.count(name) || now - it->second < settled) {
+            ++it;
+            continue;
+        }
+        if (controller_.block_of(name))
+            retire(name, "it is no longer listed");
+        else if (booting_.erase(name) > 0)
+            doomed_.emplace(name, now);
+        it = first_listed_.erase(it);
+    }
+}
+
+/// By the leader, whoever holds the machine.
+void Fleet::retire(const std::string& machine, const char* why) {
+    const Block* block = controller_.block_of(machine);
+    if (!block) return;
+    for (const auto& m : block->machines)
+        if (m.name == machine && m.retired) return;
+    if (Owner* owner = controller_.owner(block->domain)) return owner->retire(machine, why);
+    spdlog::info("machine {}: to be returned: {}", machine, why);
+    controller_.retire_machine(machine);
+}
+
 void Fleet::weigh() {
     const Micros now = controller_.host().now();
     const Settings& s = controller_.settings();
-    Owner* owner = controller_.owner("d0");
-    std::erase_if(booting_, [&](const auto& b) { return controller_.blocks().count(b.first) > 0; });
-    balance_ = Balance{};
+    std::erase_if(booting_, [&](const auto& b) { return controller_.block_of(b.first) != nullptr; });
+    balance_ = peer::FleetBalance{};
+    balance_.term = controller_.term();
     auto add = [&](Milli cores, bool spot) {
         balance_.total += cores;
         if (!spot) balance_.ordinary += cores;
     };
-    for (const auto& [name, m] : owner->machines())
-        if (m->type && !m->block.retired && !m->retiring && !m->notice)
-            add(m->type->size.cores, m->block.spot);
+    for (const auto& [id, block] : controller_.blocks())
+        if (const auto* type = controller_.machine_type(block.type))
+            for (const auto& m : block.machines)
+                if (!m.retired) add(type->size.cores, block.spot);
     for (const auto& [name, b] : booting_)
         if (const auto* type = controller_.machine_type(b.type)) add(type->size.cores, b.spot);
     Milli limit = 0;
     for (const auto& t : s.teams) limit += t.limit.cores;
     Milli ordinary = 0, total = 0;
-    for (const auto& [ref, job] : owner->jobs()) {
-        if (job->stage != Stage::Queued) continue;
-        const Milli cores = job->spec.need.cores * (job->idle + job->bound);
+    for (const auto& [ref, job] : controller_.live_jobs()) {
+        if (job.cancelled) continue;
+        const Milli cores = job.cores * std::max(job.tasks - job.done, 0);
         total += cores;
-        if (!job->spec.spot) ordinary += cores;
+        if (!job.spot) ordinary += cores;
     }
     // What was needed lately is needed again soon: the peak is forgotten slowly, since booting takes long.
     const double kept = std::exp2(-static_cast<double>(now - weighed_at_) / static_cast<double>(kForget));
@@ -170,57 +227,66 @@
     const Micros now = controller_.host().now();
     if (now - logged_at_ < 10 * kSecond) return;
     logged_at_ = now;
-    int idle = 0;
-    for (const auto& [name, m] : controller_.owner("d0")->machines()) idle += m->tasks.empty();
-    spdlog::info("fleet: {} of {} cores wanted are there or coming, ordinary {} of {}; {} machines idle",
-                 balance_.total / 1000, balance_.wanted_total / 1000, balance_.ordinary / 1000,
-                 balance_.wanted_ordinary / 1000, idle);
+    spdlog::info(
+        "fleet: {} of {} cores wanted are there or coming, ordinary {} of {}; {} machines not leased yet",
+        balance_.total / 1000, balance_.wanted_total / 1000, balance_.ordinary / 1000,
+        balance_.wanted_ordinary / 1000, booting_.size());
 }
 
 // ---------------------------------------------------------------- returning
 
+/// What is too much in all, by the domain's part of the machines.
+Fleet::Surplus Fleet::surplus_of(const Owner& owner) const {
+    const auto balance = controller_.balance();
+    if (balance.term == 0 || balance.total <= 0) return {};
+    const double part =
+        static_cast<double>(controller_.capacity_of(owner.domain())) / static_cast<double>(balance.total);
+    auto ours = [part](Milli surplus) {
+        return static_cast<Milli>(static_cast<double>(std::max<Milli>(surplus, 0)) * std::min(part, 1.0));
+    };
+    return {ours(balance.ordinary - balance.wanted_ordinary), ours(balance.total - balance.wanted_total)};
+}
+
 /// Surplus ordinary machines that batch work keeps busy are emptied, the least used one first, one at a time.
-void Fleet::drain() {
-    Owner* owner = controller_.owner("d0");
+void Fleet::drain(Owner& owner) {
+    const Surplus surplus = surplus_of(owner);
     const Machine* draining = nullptr;
     const Machine* best = nullptr;
-    for (const auto& [name, m] : owner->machines()) {
-        if (m->block.spot || m->block.retired || !m->type) continue;
+    for (const auto& [name, m] : owner.machines()) {
+        if (m->spot || m->retired || !m->type) continue;
         if (m->draining) draining = m.get();
-        if (balance_.ordinary - m->type->size.cores < balance_.wanted_ordinary || !owner->passing(*m))
-            continue;
+        if (surplus.ordinary < m->type->size.cores || !owner.passing(*m)) continue;
         if (!best || m->booked.cores < best->booked.cores) best = m.get();
     }
     if (draining) {
-        if (balance_.ordinary - draining->type->size.cores < balance_.wanted_ordinary)
-            owner->drain(draining->block.machine, false);
-    } else if (best && controller_.host().now() - leading_since_ > controller_.settings().ops.idle_return) {
-        owner->drain(best->block.machine, true);
+        if (surplus.ordinary < draining->type->size.cores) owner.drain(draining->name, false);
+    } else if (best && controller_.host().now() - holding_since_ > controller_.settings().ops.idle_return) {
+        owner.drain(best->name, true);
     }
 }
 
-void Fleet::reclaim() {
+void Fleet::reclaim(Owner& owner, bool idle_too) {
     const Micros now = controller_.host().now();
     const Settings& s = controller_.settings();
-    Owner* owner = controller_.owner("d0");
-    for (const auto& [name, m] : owner->machines()) {
-        if (m->block.retired || m->retiring) continue;
-        const Micros silent = owner->silent_for(*m);
-        if (m->tasks.empty() && now - leading_since_ > s.lease && silent > s.lease + kSilent)
-            owner->retire(name, "it is silent");
-        else if (m->notice && now > m->notice_end + 10 * kSecond && m->tasks.empty() && silent > 5 * kSecond)
-            owner->retire(name, "it was taken");
-        else if (m->error_jobs.size() >= 3 && m->tasks.empty())
-            owner->retire(name, "tasks of several jobs fail on it");
-        else if (m->tasks.empty() && m->type && now - leading_since_ > s.ops.idle_return &&
-                 now - m->idle_since > s.ops.idle_return) {
+    Surplus surplus = idle_too ? surplus_of(owner) : Surplus{};
+    for (const auto& [name, m] : owner.machines()) {
+        if (m->retired || m->retiring || m->leaving) continue;
+        const Micros silent = owner.silent_for(*m);
+        if (m->tasks.empty() && now - holding_since_ > s.lease && silent > s.lease + kSilent) {
+            owner.retire(name, "it is silent");
+        } else if (m->notice && now > m->notice_end + 10 * kSecond && m->tasks.empty() &&
+                   silent > 5 * kSecond) {
+            owner.retire(name, "it was taken");
+        } else if (m->error_jobs.size() >= 3 && m->tasks.empty()) {
+            owner.retire(name, "tasks of several jobs fail on it");
+        } else if (idle_too && m->tasks.empty() && m->type && now - holding_since_ > s.ops.idle_return &&
+                   now - m->idle_since > s.ops.idle_return) {
             const Milli cores = m->type->size.cores;
-            if (m->block.spot ? balance_.total - cores < balance_.wanted_total
-                              : balance_.ordinary - cores < balance_.wanted_ordinary)
-                continue;
-            balance_.total -= cores;
-            if (!m->block.spot) balance_.ordinary -= cores;
-            owner->retire(name, "it is idle");
+            Milli& left = m->spot ? surplus.total : surplus.ordinary;
+            if (left < cores) continue;
+            left -= cores;
+            if (!m->spot) surplus.total -= cores;
+            owner.retire(name, "it is idle");
         }
     }
 }
@@ -229,33 +295,31 @@
     if (deleting_) return;
     const Micros now = controller_.host().now();
     std::vector<std::string> names;
-    for (const auto& [name, block] : controller_.blocks())
-        if (block.retired && names.size() < kMaxDelete) names.push_back(name);
+    for (const auto& [id, block] : controller_.blocks())
+        for (const auto& m : block.machines)
+            if (m.retired && names.size() < kMaxDelete) names.push_back(m.name);
     for (const auto& [name, since] : doomed_)
-        if (names.size() < kMaxDelete && !controller_.blocks().count(name)) names.push_back(name);
+        if (names.size() < kMaxDelete && !controller_.block_of(name)) names.push_back(name);
+    std::erase_if(names, [&](const std::string& n) { return forgetting_.count(n) > 0; });
     if (names.empty() || now < pause_until_) return;
     Call c;
     c.method = "POST";
     c.path = "/machines/delete";
     c.body = wire::delete_request(names);
-    deleting_ = call(std::move(c), [this, names](const Reply& r) {
+    deleting_ = call(std::move(c), 0, [this, names](const Reply& r) {
         deleting_ = false;
         if (r.status != 200) return;
-        Owner* owner = controller_.owner("d0");
         for (const auto& name : names) {
             deleted_.insert(name);
             if (deleted_.size() > kMaxDeleted) deleted_.erase(deleted_.begin());  // names come in order
             doomed_.erase(name);
             booting_.erase(name);
-            auto block = controller_.blocks().find(name);
-            if (block == controller_.blocks().end() || !owner) continue;
-            // Gone with everything on it, so the record that kept its tasks in doubt may go.
-            Change change;
-            change.when.push_back({keys::domain + "d0", owner->mark()});
-            change.when.push_back({keys::block + name, block->second.mark});
-            change.then.push_back({keys::block + name, Value()});
-            controller_.store().commit(std::move(change), [](const CommitResult&) {});
+            first_listed_.erase(name);
+            if (controller_.block_of(name)) forgetting_.insert(name);
         }
+        std::erase_if(forgetting_, [&](const std::string& n) { return !controller_.block_of(n); });
+        // Gone with everything on them, so the records that kept their tasks in doubt may forget them.
+        controller_.forget_machines(names);
         spdlog::info("returned {} machines, {} first", names.size(), names.front());
     });
 }
@@ -264,15 +328,19 @@
 
 void Fleet::rent() {
     const Micros now = controller_.host().now();
-    Owner* owner = controller_.owner("d0");
-    if (now - leading_since_ < 3 * kSecond || now < pause_until_ || !rentals_.empty()) return;
+    if (now - leading_since_ < 3 * kSecond || now < pause_until_ || rentals_.size() >= kMaxRentals) return;
     // Spot machines are tried first; what they can't cover is what ordinary ones are wanted for.
     const bool need_ordinary =
         balance_.ordinary < balance_.wanted_ordinary && now - leading_since_ > 6 * kSecond;
     if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
     std::map<std::string, int> per_zone;
-    for (const auto& [name, m] : owner->machines()) ++per_zone[m->block.zone];
+    for (const auto& [id, block] : controller_.blocks())
+        per_zone[block.zone] += static_cast<int>(block.machines.size());
     for (const auto& [name, b] : booting_) ++per_zone[b.zone];
+    Milli coming = 0;
+    for (const auto& [name, r] : rentals_)
+        if (const auto* t = controller_.machine_type(r.type); t && r.spot != need_ordinary)
+            coming += t->size.cores * r.count;
 
     // The cheapest core first; among equals the zone with the fewest machines.
     struct Offer {
@@ -280,6 +348,9 @@
         int crowd;
         Shape shape;
         Milli cores;
+        bool operator<(const Offer& o) const {
+            return std::tuple(price, crowd) < std::tuple(o.price, o.crowd);
+        }
     };
     std::vector<Offer> offers;
     for (const auto& t : controller_.types())
@@ -289,19 +360,28 @@
                 const Shape shape{t.name, zone, spot};
                 if (auto r = refused_until_.find(shape); r != refused_until_.end() && now < r->second)
                     continue;
+                const bool asked = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) {
+                    return Shape{r.second.type, r.second.zone, r.second.spot} == shape;
+                });
                 const double cores = static_cast<double>(t.size.cores) / 1000.0;
-                if (cores <= 0) continue;
+                if (cores <= 0 || asked) continue;
                 offers.push_back(
                     {(spot ? t.spot_price : t.price) / cores, per_zone[zone], shape, t.size.cores});
             }
-    if (offers.empty()) return;
-    const auto best = std::min_element(offers.begin(), offers.end(), [](const Offer& a, const Offer& b) {
-        return std::tuple(a.price, a.crowd) < std::tuple(b.price, b.crowd);
-    });
-    const Milli short_of =
-        need_ordinary ? balance_.wanted_ordinary - balance_.ordinary : balance_.wanted_total - balance_.total;
-    const auto missing = static_cast<int>((short_of + best->cores - 1) / best->cores);
-    order(best->shape, std::clamp(missing, 1, kMaxAtOnce));
+    std::sort(offers.begin(), offers.end());
+    Milli short_of = (need_ordinary ? balance_.wanted_ordinary - balance_.ordinary
+                                    : balance_.wanted_total - balance_.total) -
+                     coming;
+    for (std::size_t i = 0; i < offers.size() && short_of > 0 && rentals_.size() < kMaxRentals; ++i) {
+        // The same price in several zones: the zones share it.
+        const auto alike = std::count_if(offers.begin() + static_cast<std::ptrdiff_t>(i), offers.end(),
+                                         [&](const Offer& o) { return o.price == offers[i].price; });
+        const auto missing = static_cast<int>((short_of + offers[i].cores - 1) / offers[i].cores);
+        const int count =
+            std::clamp((missing + static_cast<int>(alike) - 1) / static_cast<int>(alike), 1, kMaxAtOnce);
+        order(offers[i].shape, count);
+        short_of -= offers[i].cores * count;
+    }
 }
 
 void Fleet::order(const Shape& shape, int count) {
@@ -321,7 +401,7 @@
     c.path = "/machines";
     c.body = wire::rent_request(rental.name, rental.type, rental.zone, rental.spot, rental.count);
     rental.in_flight = true;
-    const bool sent = call(std::move(c), [this, name = rental.name](const Reply& r) {
+    const bool sent = call(std::move(c), 0, [this, name = rental.name](const Reply& r) {
         auto it = rentals_.find(name);
         if (it == rentals_.end()) return;
         Rental& x = it->second;
@@ -333,7 +413,7 @@
             spdlog::info("rented {} of {} {} in {}{}", names->size(), x.count, x.type, x.zone,
                          x.spot ? ", spot" : "");
             for (const auto& n : *names)
-                if (!controller_.blocks().count(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
+                if (!controller_.block_of(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
             if (static_cast<int>(names->size()) < x.count)
                 refused_until_[shape] = now + 15 * kSecond;
             else
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -16,9 +16,14 @@
 class Fleet {
   public:
     explicit Fleet(Controller& controller);
-    /// Called about once a second by every controller; only the leader acts.
+    /// Called ten times a second by every controller. The leader deals with the cloud; every holder returns
+    /// its part of what is too much.
     void tick();
     Value status() const;
+    Micros leading_since() const { return leading_since_; }
+    /// Machines that the cloud has listed, as far as the leader has read.
+    std::size_t known() const { return first_listed_.size(); }
+    const peer::FleetBalance& balance() const { return balance_; }
 
   private:
     struct Rental {
@@ -43,25 +48,25 @@
         auto operator<=>(const Shape&) const = default;
     };
 
-    /// Cores that are there or coming, and cores that are wanted; ordinary machines also by themselves, since
-    /// some work may not use spot ones.
-    struct Balance {
-        Milli ordinary = 0;
-        Milli total = 0;
-        Milli wanted_ordinary = 0;
-        Milli wanted_total = 0;
-    };
     void weigh();
     void log_balance();
     void list(const std::string& since);
     void on_listed(const CloudMachine& m);
+    void list_complete();
+    void retire(const std::string& machine, const char* why);
     void rent();
     void order(const Shape& shape, int count);
     void send(Rental& rental);
-    void drain();
-    void reclaim();
+    /// A holder's part of a surplus of cores.
+    struct Surplus {
+        Milli ordinary = 0;
+        Milli total = 0;
+    };
+    Surplus surplus_of(const Owner& owner) const;
+    void drain(Owner& owner);
+    void reclaim(Owner& owner, bool idle_too);
     void remove();
-    bool call(Call call, ReplyHandler done);
+    bool call(Call call, double reserve, ReplyHandler done);
 
     Controller& controller_;
     RateBudget budget_;
@@ -79,8 +84,13 @@
     std::map<Shape, Micros> refused_until_;
     std::map<Shape, int> refusals_;
     std::set<std::string> deleted_;
+    std::set<std::string> forgetting_;      // deleted, their records still list them
     std::map<std::string, Micros> doomed_;  // never reported: to be deleted
-    Balance balance_;
+    peer::FleetBalance balance_;
+    std::map<std::string, Micros> first_listed_;
+    std::set<std::string> listing_now_;
+    Micros reclaimed_at_ = 0;
+    Micros holding_since_ = 0;
     double peak_ordinary_ = 0;
     double peak_total_ = 0;
     Micros weighed_at_ = 0;
--- a/src/core/host.hpp
+++ b/src/core/host.hpp
@@ -11,20 +11,25 @@
 
 namespace cottonway {
 
-/// status 0: no answer, so the request may have been executed, or may still be.
+/// Statuses besides those of HTTP.
+constexpr int kNoAnswer = 0;  // the request may have been executed, or may still be
+constexpr int kNotSent = -1;  // no connection came about: the request was not and will not be executed
+
 struct Reply {
-    int status = 0;
+    int status = kNoAnswer;
     Value body;
+    std::string bytes{};  // peers only
 };
 
-enum class Target { State, Cloud, Worker };
+enum class Target { State, Cloud, Worker, Peer };
 
 struct Call {
     Target target = Target::State;
-    std::string addr;  // workers only
+    std::string addr;  // workers and peers only
     std::string method;
     std::string path;
-    Value body;  // null: none
+    Value body;         // null: none
+    std::string bytes;  // peers only: a packed message
     Micros timeout = 2 * kSecond;
 };
 
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -10,6 +10,13 @@
 namespace {
 
 constexpr std::size_t kMaxImages = 64;
+constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
+constexpr std::size_t kUsualBinding = 22;
+constexpr Micros kDefer = 1'500 * kMillisecond;  // done tasks of a job that goes on are written together
+constexpr Micros kPlanEvery = 20 * kMillisecond;
+constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
+constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
+constexpr Micros kIdleOffer = 500 * kMillisecond;  // idle before it is given to another domain
 
 /// A lease measured by another clock may run this much longer by ours.
 Micros with_drift(Micros t) {
@@ -20,28 +27,16 @@
     return part == 0 ? keys::job + ref : keys::part + ref + "/" + std::to_string(part);
 }
 
-}  // namespace
-
-Value Block::value() const {
-    Value v{{"dom", domain}, {"type", type}, {"zone", zone}, {"addr", addr}, {"spot", spot}};
-    if (retired) v["retired"] = true;
-    return v;
+std::size_t binding_bytes(const Machine& m) {
+    return m.name.size() + kBindingBytes;
 }
 
-std::optional<Block> Block::parse(const std::string& machine, const Value& v, Revision mark) {
-    Block b;
-    auto dom = wire::text(v, "dom"), type = wire::text(v, "type"), zone = wire::text(v, "zone"),
-         addr = wire::text(v, "addr");
-    if (!dom || !type || !zone || !addr) return std::nullopt;
-    b.machine = machine;
-    b.domain = *dom;
-    b.type = *type;
-    b.zone = *zone;
-    b.addr = *addr;
-    b.spot = wire::flag(v, "spot").value_or(false);
-    b.retired = wire::flag(v, "retired").value_or(false);
-    b.mark = mark;
-    return b;
+}  // namespace
+
+std::size_t part_tasks_for(std::size_t value_bytes, std::size_t spec_bytes) {
+    const std::size_t room = value_bytes * 23 / 25;
+    const std::size_t left = room > spec_bytes + 100 ? room - spec_bytes - 100 : 0;
+    return std::clamp<std::size_t>(left / (kUsualBinding + 1), 16, 4096);
 }
 
 Owner::Owner(OwnerContext& context, std::string domain, Revision mark, Micros former_authority_end)
@@ -51,34 +46,40 @@
     *alive_ = false;
 }
 
-// ---------------------------------------------------------------- blocks
+Job* Owner::find_job(const std::string& ref) const {
+    auto it = jobs_.find(ref);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
 
-void Owner::on_block(const Block& block) {
-    auto it = machines_.find(block.machine);
-    if (block.domain != domain_) {
-        if (it != machines_.end() && block.mark > it->second->block.mark) {
-            // Only this owner gives its blocks away, and only empty ones: whatever a record still lists is
-            // gone.
-            void_machine(*it->second, "its block has moved");
-            machines_.erase(it);
-        }
-        return;
-    }
-    if (it == machines_.end()) {
-        auto m = std::make_unique<Machine>();
-        m->known_since = context_.host().now();
-        m->idle_since = m->known_since;
-        it = machines_.emplace(block.machine, std::move(m)).first;
+// ---------------------------------------------------------------- machines
+
+void Owner::on_machine(const Block& block, const Block::Machine& entry) {
+    auto& owned = machines_[entry.name];
+    if (!owned) {
+        owned = std::make_unique<Machine>();
+        owned->name = entry.name;
+        owned->known_since = context_.host().now();
+        owned->idle_since = owned->known_since;
+        owned->promises.resize(context_.settings().peers.size());
     }
-    if (block.mark >= it->second->block.mark) it->second->block = block;
-    it->second->type = context_.machine_type(block.type);
+    Machine& m = *owned;
+    m.block = block.id;
+    m.type_name = block.type;
+    m.zone = block.zone;
+    m.spot = block.spot;
+    if (!entry.addr.empty()) m.addr = entry.addr;
+    m.retired = entry.retired;
+    m.token = std::max<std::uint64_t>(m.token, entry.token);
+    m.type = context_.machine_type(block.type);
+    if (m.token_seen < token(m)) poke(m);
 }
 
-void Owner::on_block_gone(const std::string& machine) {
-    // A block record is dropped only after the cloud has confirmed that the machine is deleted.
-    auto it = machines_.find(machine);
+void Owner::on_machine_gone(const std::string& name, const char* why) {
+    // A record stops listing a machine once the cloud has confirmed its deletion, or when it has been given
+    // to another domain while it was empty: whatever a job's record still lists there is gone.
+    auto it = machines_.find(name);
     if (it == machines_.end()) return;
-    void_machine(*it->second, "the machine is deleted");
+    void_machine(*it->second, why);
     machines_.erase(it);
 }
 
@@ -89,12 +90,8 @@
 }
 
 void Owner::void_machine(Machine& m, const char* why) {
-    if (!m.tasks.empty())
-        spdlog::info("machine {}: {} tasks are gone: {}", m.block.machine, m.tasks.size(), why);
-    for (const auto& [ref, task] : std::set(m.tasks)) {
-        auto job = jobs_.find(ref);
-        if (job != jobs_.end()) gone(*job->second, task, 0);
-    }
+    if (!m.tasks.empty()) spdlog::info("machine {}: {} tasks are gone: {}", m.name, m.tasks.size(), why);
+    for (const auto& t : std::set(m.tasks)) gone(*t.job, t.task, 0);
     forget_strays(m);
     m.exited.clear();
     m.taints.clear();
@@ -109,37 +106,62 @@
     auto it = machines_.find(machine);
     if (it == machines_.end() || it->second->draining == on) return;
     it->second->draining = on;
+    plan_due_ = true;
     spdlog::info("machine {}: {}", machine, on ? "surplus, nothing new is bound to it" : "needed again");
 }
 
 bool Owner::passing(const Machine& m) const {
-    return std::all_of(m.tasks.begin(), m.tasks.end(), [&](const auto& key) {
-        const JobSpec& s = jobs_.at(key.first)->spec;
-        return s.kind == JobKind::Array && s.spot;
+    return std::all_of(m.tasks.begin(), m.tasks.end(), [](const TaskRef& t) {
+        return t.job->spec.kind == JobKind::Array && t.job->spec.spot;
     });
 }
 
 bool Owner::usable(const Machine& m) const {
     const Micros now = context_.host().now();
-    return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.block.retired && !m.retiring &&
-           !m.draining && !m.notice && now >= m.avoid_until && m.strays.empty() &&
+    return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.retired && !m.retiring && !m.leaving &&
+           !m.draining && !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() &&
            now - m.heard < context_.settings().report_every * 5 / 2 + kSecond;
 }
 
-/// From when on every lease that the worker may hold is over: ours, and any that a former holder may have
-/// granted as long as the worker has not shown our token.
-Micros Owner::proof_time(const Machine& m) const {
-    const Micros lease = with_drift(context_.settings().lease);
-    Micros t = std::max({m.answered, m.heard, m.known_since}) + lease;
-    if (m.token_seen < mark_) t = std::max(t, former_end_ + lease);
-    return t;
+/// Whether every lease that the worker may hold has run out: what we granted, what a former holder may have
+/// granted as long as the worker has not shown our token, and what other controllers may have renewed on our
+/// behalf. Of the last only their promise tells, or that they can't have been entitled any more.
+bool Owner::lease_over(const Machine& m) const {
+    const Micros now = context_.host().now();
+    Micros last = std::max({m.answered, m.heard, m.known_since});
+    if (m.token_seen < mark_) last = std::max(last, former_end_);
+    if (now <= last + with_drift(context_.settings().lease)) return false;
+    for (std::size_t peer = 0; peer < m.promises.size(); ++peer) {
+        if (m.promises[peer].until > now)
+            last = std::max(last, m.promises[peer].renewed);
+        else if (auto ended = context_.peer_ended(peer))
+            last = std::max(last, *ended);
+        else
+            return false;
+    }
+    return now > last + with_drift(context_.settings().lease);
+}
+
+std::vector<std::string> Owner::to_renounce(std::size_t peer) const {
+    std::vector<std::string> names;
+    const Micros now = context_.host().now();
+    for (const auto& [name, m] : machines_)
+        if (!m->tasks.empty() && silent_for(*m) > context_.settings().lease / 2 &&
+            m->promises[peer].until < now + context_.settings().lease)
+            names.push_back(name);
+    return names;
+}
+
+void Owner::renounced(std::size_t peer, const std::string& machine, Promise promise) {
+    auto it = machines_.find(machine);
+    if (it != machines_.end()) it->second->promises[peer] = promise;
 }
 
 // ---------------------------------------------------------------- jobs: records
 
 void Owner::on_job(const std::string& ref, const Value& value, Revision mark) {
-    auto it = jobs_.find(ref);
-    if (it == jobs_.end()) {
+    Job* known = find_job(ref);
+    if (!known) {
         if (wire::text(value, "dom") != domain_) return;
         const auto stage = wire::text(value, "s");
         const Value* spec = wire::find(value, "d");
@@ -151,22 +173,22 @@
         }
         auto job = std::make_unique<Job>();
         job->spec = std::move(*parsed.spec);
+        job->serial = next_serial_++;
         job->submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
         job->waiting_since = context_.host().now();
         job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
         job->idle = job->spec.tasks;
-        job->parts.resize((job->slots.size() + kPartTasks - 1) / kPartTasks);
-        it = jobs_.emplace(ref, std::move(job)).first;
-        adopt_part(*it->second, 0, value, mark);
-        if (auto orphans = orphan_parts_.find(ref); orphans != orphan_parts_.end()) {
-            for (auto& [part, rest] : orphans->second)
-                if (part < it->second->parts.size()) adopt_part(*it->second, part, rest.first, rest.second);
-            orphan_parts_.erase(orphans);
-        }
+        // The previous version's records don't tell and have 64 tasks a part.
+        job->part_tasks = std::max<std::size_t>(wire::count(value, "ps").value_or(64), 1);
+        job->parts.resize((job->slots.size() + job->part_tasks - 1) / job->part_tasks);
+        known = job.get();
+        jobs_.emplace(ref, std::move(job));
+        adopt_part(*known, 0, value, mark);
+        plan_due_ = true;
         context_.wake();
         return;
     }
-    Job& job = *it->second;
+    Job& job = *known;
     // While a write of ours is under way its result will tell; a later record makes it fail.
     if (mark <= job.parts[0].mark || job.parts[0].in_flight || job.parts[0].reloading) return;
     // A final record holds no tasks: taken as an ordinary one, the job would start all over again.
@@ -175,28 +197,20 @@
     context_.wake();
 }
 
-void Owner::on_part(const std::string& name, const Value& value, Revision mark) {
-    auto slash = name.rfind('/');
-    if (slash == std::string::npos) return;
-    const std::string ref = name.substr(0, slash);
-    const auto part = static_cast<std::size_t>(std::strtoul(name.c_str() + slash + 1, nullptr, 10));
-    auto it = jobs_.find(ref);
-    if (it == jobs_.end()) {
-        if (!active_) orphan_parts_[ref].push_back({part, {value, mark}});
-        return;
-    }
-    if (part == 0 || part >= it->second->parts.size()) return;
-    auto& p = it->second->parts[part];
+void Owner::on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) {
+    Job* job = find_job(ref);
+    if (!job || part == 0 || part >= job->parts.size()) return;
+    auto& p = job->parts[part];
     if (mark <= p.mark || p.in_flight || p.reloading) return;
-    adopt_part(*it->second, part, value, mark);
+    adopt_part(*job, part, value, mark);
 }
 
 /// Takes a stored part as the truth about what is durable.
 void Owner::adopt_part(Job& job, std::size_t part, const Value& value, Revision mark) {
     job.parts[part].mark = mark;
     const bool was_dirty = job.parts[part].dirty;
-    const std::size_t first = part * kPartTasks;
-    const std::size_t last = std::min(job.slots.size(), first + kPartTasks);
+    const std::size_t first = part * job.part_tasks;
+    const std::size_t last = std::min(job.slots.size(), first + job.part_tasks);
     job.next_attempt = std::max<std::int64_t>(job.next_attempt,
                                               static_cast<std::int64_t>(wire::count(value, "n").value_or(1)));
     if (auto bits = wire::text(value, "f")) {
@@ -210,41 +224,51 @@
         }
     }
     job.parts[part].dirty = was_dirty;
+    auto bound = [&](std::size_t task, std::int64_t attempt, const std::string& machine) {
+        if (task < first || task >= last) return;
+        Slot& slot = job.slots[task];
+        job.next_attempt = std::max(job.next_attempt, attempt + 1);
+        if (slot.state == SlotState::Binding && slot.attempt == attempt) {
+            slot.state = SlotState::Bound;
+            --job.parts[part].binding;
+            poke(*slot.machine);
+            return;
+        }
+        if (slot.state != SlotState::Idle || slot.attempt >= attempt) return;
+        auto m = machines_.find(machine);
+        // No machine of ours: it was proven gone, or given away empty.
+        if (m == machines_.end()) return;
+        bind(job, static_cast<int>(task), *m->second, attempt);
+        --job.parts[part].binding;
+        slot.state = SlotState::Bound;
+        slot.foreign = true;
+        slot.launch_sent = true;
+        slot.launch_token = mark_ - 1;
+        slot.launch_session = UINT64_MAX;
+    };
     if (const Value* bindings = wire::find(value, "b"); bindings && bindings->is_array()) {
         for (const auto& b : *bindings) {
-            if (!b.is_array() || b.size() != 3 || !b[0].is_number_integer() || !b[1].is_number_integer() ||
-                !b[2].is_string())
-                continue;
-            const auto task = b[0].get<std::size_t>();
-            const auto attempt = b[1].get<std::int64_t>();
-            if (task < first || task >= last) continue;
-            Slot& slot = job.slots[task];
-            if (slot.state == SlotState::Binding && slot.attempt == attempt) {
-                slot.state = SlotState::Bound;
-                continue;
+            if (!b.is_array() || b.size() < 3 || !b[0].is_number_integer()) continue;
+            if (b[1].is_string()) {  // attempt, machine, tasks
+                for (std::size_t i = 2; i < b.size(); ++i)
+                    if (b[i].is_number_integer())
+                        bound(b[i].get<std::size_t>(), b[0].get<std::int64_t>(), b[1].get<std::string>());
+            } else if (b[1].is_number_integer() &&
+                       b[2].is_string()) {  // previous version: task, attempt, machine
+                bound(b[0].get<std::size_t>(), b[1].get<std::int64_t>(), b[2].get<std::string>());
             }
-            if (slot.state != SlotState::Idle || slot.attempt >= attempt) continue;
-            auto m = machines_.find(b[2].get<std::string>());
-            job.next_attempt = std::max(job.next_attempt, attempt + 1);
-            // No block of ours: the machine was proven gone, or given away empty.
-            if (m == machines_.end()) continue;
-            bind(job, static_cast<int>(task), *m->second, attempt);
-            slot.state = SlotState::Bound;
-            slot.foreign = true;
-            slot.launch_sent = true;
-            slot.launch_token = mark_ - 1;
-            slot.launch_session = UINT64_MAX;
         }
     }
     for (std::size_t i = first; i < last; ++i)
-        if (job.slots[i].state == SlotState::Binding) job.parts[part].dirty = true;
+        if (job.slots[i].state == SlotState::Binding) touch(job, part);
     if (part == 0 && wire::text(value, "s") == "cancelled") cancel(job);
     dirty_.insert(job.spec.ref);
+    flush_due_ = true;
 }
 
 Value Owner::part_value(const Job& job, std::size_t part, bool final_record) const {
-    const std::size_t first = part * kPartTasks;
-    const std::size_t last = std::min(job.slots.size(), first + kPartTasks);
+    const std::size_t first = part * job.part_tasks;
+    const std::size_t last = std::min(job.slots.size(), first + job.part_tasks);
     Value v = Value::object();
     if (part == 0) {
         v["s"] = job.stage == Stage::Cancelled ? "cancelled" : final_record ? "done" : "queued";
@@ -256,17 +280,19 @@
         }
         v["d"] = wire::job_value(job.spec);
         v["at"] = job.submitted_ms;
+        v["ps"] = job.part_tasks;
         v["fd"] = job.done;
         v["fr"] = job.bound;
     }
     v["n"] = job.next_attempt;
-    Value bindings = Value::array();
+    // Bindings are grouped by attempt and machine, since a value is limited.
+    std::map<std::pair<std::int64_t, std::string>, std::vector<std::size_t>> bindings;
     std::string bits((last - first + 3) / 4, '0');
     bool any = false;
     for (std::size_t i = first; i < last; ++i) {
         const Slot& slot = job.slots[i];
         if (slot.state == SlotState::Binding || slot.state == SlotState::Bound)
-            bindings.push_back(Value::array({i, slot.attempt, slot.machine->block.machine}));
+            bindings[{slot.attempt, slot.machine->name}].push_back(i);
         if (slot.state == SlotState::Done || slot.state == SlotState::DonePending) {
             auto& c = bits[(i - first) / 4];
             int nibble = c >= 'a' ? c - 'a' + 10 : c - '0';
@@ -275,49 +301,87 @@
             any = true;
         }
     }
-    if (!bindings.empty()) v["b"] = std::move(bindings);
+    if (!bindings.empty()) {
+        Value list = Value::array();
+        for (const auto& [key, tasks] : bindings) {
+            Value entry = Value::array({key.first, key.second});
+            for (auto t : tasks) entry.push_back(t);
+            list.push_back(std::move(entry));
+        }
+        v["b"] = std::move(list);
+    }
     if (any) v["f"] = bits;
     return v;
 }
 
+void Owner::touch(Job& job, std::size_t part) {
+    auto& p = job.parts[part];
+    if (!p.dirty) p.dirty_since = context_.host().now();
+    p.dirty = true;
+    dirty_.insert(job.spec.ref);
+    flush_due_ = true;
+}
+
+/// Writes what has to become durable, the urgent first, as far as the store has room for it now. What does
+/// not go out yet keeps gathering changes, and is written once.
 void Owner::flush_jobs() {
     const Micros now = context_.host().now();
-    for (const auto& ref : std::exchange(dirty_, {})) {
-        auto it = jobs_.find(ref);
-        if (it == jobs_.end()) continue;
-        Job& job = *it->second;
-        bool waiting = false;
-        for (std::size_t p = job.parts.size(); p-- > 0;) {
-            auto& part = job.parts[p];
-            // Part 0 says that the job is over, so it goes last, after the others are durable.
-            const bool over = job.over();
-            if (p == 0 && over && !waiting) part.dirty = true;
-            if (!part.dirty) continue;
-            waiting = true;
-            if (part.in_flight || part.reloading) continue;
-            if (now < part.not_before) {
-                dirty_.insert(ref);
-                continue;
+    struct Due {
+        Priority priority;
+        Micros since;
+        Job* job;
+        std::size_t part;
+    };
+    std::vector<Due> list;
+    for (auto it = dirty_.begin(); it != dirty_.end();) {
+        Job* job = find_job(*it);
+        if (!job) {
+            it = dirty_.erase(it);
+            continue;
+        }
+        // The final record speaks for all parts, so nothing else is written any more.
+        const bool over = job->over();
+        bool left = false;
+        bool busy = false;
+        for (const auto& p : job->parts) busy = busy || p.in_flight || p.reloading;
+        if (over) {
+            left = true;
+            if (!busy && now >= job->parts[0].not_before) {
+                if (!job->parts[0].dirty) touch(*job, 0);
+                list.push_back({Priority::Normal, job->parts[0].dirty_since, job, 0});
             }
-            if (p == 0 && over) {
-                const bool others = std::any_of(job.parts.begin() + 1, job.parts.end(), [](const auto& x) {
-                    return x.dirty || x.in_flight || x.reloading;
-                });
-                if (others) {
-                    dirty_.insert(ref);
-                    continue;
-                }
+        } else {
+            for (std::size_t p = 0; p < job->parts.size(); ++p) {
+                const auto& part = job->parts[p];
+                if (!part.dirty) continue;
+                left = true;
+                if (part.in_flight || part.reloading || now < part.not_before) continue;
+                // Each part is written on the condition that the job's record stays as it is.
+                if (p == 0 ? busy : job->parts[0].in_flight || job->parts[0].reloading) continue;
+                if (part.binding == 0 && now - part.dirty_since < kDefer) continue;
+                const Priority priority = part.binding == 0              ? Priority::Deferrable
+                                          : job->spec.rank <= Rank::High ? Priority::Urgent
+                                                                         : Priority::Normal;
+                list.push_back({priority, part.dirty_since, job, p});
             }
-            write_part(job, p);
         }
+        it = left ? std::next(it) : dirty_.erase(it);
+    }
+    std::stable_sort(list.begin(), list.end(), [](const Due& a, const Due& b) {
+        return std::tuple(a.priority, a.since) < std::tuple(b.priority, b.since);
+    });
+    for (const auto& d : list) {
+        if (!context_.store().room(d.priority)) break;
+        write_part(*d.job, d.part, d.priority);
     }
 }
 
-void Owner::write_part(Job& job, std::size_t index) {
+void Owner::write_part(Job& job, std::size_t index, Priority priority) {
     const std::string ref = job.spec.ref;
     auto& part = job.parts[index];
     const bool final_record = index == 0 && job.over();
     Change change;
+    change.priority = priority;
     // Write ahead: on the records as we know them, so that no ousted holder binds and no cancelled job is
     // bound.
     change.when.push_back({keys::domain + domain_, mark_});
@@ -326,70 +390,74 @@
     Value value = part_value(job, index, final_record);
     std::vector<AttemptKey> binding;
     std::vector<int> done;
-    const std::size_t first = index * kPartTasks;
-    for (std::size_t i = first; i < std::min(job.slots.size(), first + kPartTasks); ++i) {
+    const std::size_t first = index * job.part_tasks;
+    for (std::size_t i = first; i < std::min(job.slots.size(), first + job.part_tasks); ++i) {
         if (job.slots[i].state == SlotState::Binding)
             binding.push_back({ref, static_cast<int>(i), job.slots[i].attempt});
         if (job.slots[i].state == SlotState::DonePending) done.push_back(static_cast<int>(i));
     }
     change.then.push_back({part_key(ref, index), std::move(value)});
+    change.purpose = final_record ? "over" : binding.empty() ? "done" : "bind";
     part.dirty = false;
     part.in_flight = true;
     context_.store().commit(std::move(change), [this, alive = alive_, ref, index, final_record, binding,
                                                 done](const CommitResult& result) {
-        if (!*alive) return;
-        auto it = jobs_.find(ref);
-        if (it == jobs_.end()) return;
-        Job& j = *it->second;
-        auto& p = j.parts[index];
-        p.in_flight = false;
-        context_.wake();
-        if (result.status == CommitStatus::Ok) {
-            p.mark = result.revision;
-            for (const auto& key : binding) {
-                Slot& slot = j.slots[static_cast<std::size_t>(key.task)];
-                if (slot.state == SlotState::Binding && slot.attempt == key.attempt)
-                    slot.state = SlotState::Bound;
-            }
-            for (int task : done) {
-                Slot& slot = j.slots[static_cast<std::size_t>(task)];
-                if (slot.state == SlotState::DonePending) slot.state = SlotState::Done;
-            }
-            if (final_record) {
-                spdlog::info("job {}: {}", ref, j.stage == Stage::Cancelled ? "cancelled, all gone" : "done");
-                return drop_job(ref);
-            }
-            dirty_.insert(ref);
-            return;
+        if (*alive) written(ref, index, final_record, binding, done, result);
+    });
+}
+
+void Owner::written(const std::string& ref, std::size_t index, bool final_record,
+                    const std::vector<AttemptKey>& binding, const std::vector<int>& done,
+                    const CommitResult& result) {
+    Job* job = find_job(ref);
+    if (!job) return;
+    auto& p = job->parts[index];
+    p.in_flight = false;
+    flush_due_ = true;
+    context_.wake();
+    if (result.status == CommitStatus::Ok) {
+        p.mark = result.revision;
+        for (const auto& key : binding) {
+            Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
+            if (slot.state != SlotState::Binding || slot.attempt != key.attempt) continue;
+            slot.state = SlotState::Bound;
+            --p.binding;
+            poke(*slot.machine);
         }
-        if (result.status == CommitStatus::Conflict &&
-            std::find(result.failed.begin(), result.failed.end(), keys::domain + domain_) !=
-                result.failed.end())
-            return context_.ousted(domain_);
-        if (result.status == CommitStatus::Unavailable) {
-            p.dirty = true;
-            p.not_before = context_.host().now() + 150 * kMillisecond;
-            dirty_.insert(ref);
-            return;
+        for (int task : done) {
+            Slot& slot = job->slots[static_cast<std::size_t>(task)];
+            if (slot.state == SlotState::DonePending) slot.state = SlotState::Done;
         }
-        // Executed or not: the record decides.
-        reload(ref, index);
-        if (index > 0) reload(ref, 0);
-    });
+        if (final_record) {
+            spdlog::info("job {}: {}", ref, job->stage == Stage::Cancelled ? "cancelled, all gone" : "done");
+            return drop_job(ref);
+        }
+        dirty_.insert(ref);
+        return;
+    }
+    if (result.status == CommitStatus::Conflict &&
+        std::find(result.failed.begin(), result.failed.end(), keys::domain + domain_) != result.failed.end())
+        return context_.ousted(domain_);
+    if (result.status == CommitStatus::Unavailable) {
+        p.not_before = context_.host().now() + 150 * kMillisecond;
+        return touch(*job, index);
+    }
+    // Executed or not: the record decides.
+    reload(ref, index);
+    if (index > 0) reload(ref, 0);
 }
 
 void Owner::reload(const std::string& ref, std::size_t index) {
-    auto it = jobs_.find(ref);
-    if (it == jobs_.end()) return;
-    auto& part = it->second->parts[index];
+    Job* known = find_job(ref);
+    if (!known) return;
+    auto& part = known->parts[index];
     if (part.reloading || part.in_flight) return;
     part.reloading = true;
     context_.store().read(part_key(ref, index), [this, alive = alive_, ref, index](const ReadResult& r) {
         if (!*alive) return;
-        auto found = jobs_.find(ref);
-        if (found == jobs_.end()) return;
-        Job& job = *found->second;
-        auto& p = job.parts[index];
+        Job* job = find_job(ref);
+        if (!job) return;
+        auto& p = job->parts[index];
         p.reloading = false;
         if (!r.ok) {
             context_.host().after(300 * kMillisecond, [this, alive, ref, index] {
@@ -403,10 +471,9 @@
             // Our final write went through after all.
             return drop_job(ref);
         }
-        p.dirty = true;
-        if (r.found) adopt_part(job, index, r.value, r.mark);
+        if (r.found) adopt_part(*job, index, r.value, r.mark);
         // What is durable of done tasks was set by adopt_part; the rest is written again.
-        dirty_.insert(ref);
+        touch(*job, index);
         context_.wake();
     });
 }
@@ -422,11 +489,14 @@
     for (std::size_t p = 1; p < job.parts.size(); ++p) {
         if (job.parts[p].mark == 0) continue;
         Change change;
+        change.priority = Priority::Deferrable;
         change.when.push_back({keys::domain + domain_, mark_});
         change.then.push_back({part_key(ref, p), Value()});
+        change.purpose = "cleanup";
         context_.store().commit(std::move(change), [](const CommitResult&) {});
     }
     jobs_.erase(it);
+    plan_due_ = true;
     context_.wake();
 }
 
@@ -442,16 +512,22 @@
     slot.machine = &m;
     --job.idle;
     ++job.bound;
+    auto& part = job.part_of(task);
+    ++part.binding;
+    part.bytes += binding_bytes(m);
     m.booked += job.spec.need;
-    m.tasks.insert({job.spec.ref, task});
+    m.tasks.insert({&job, task});
     usage_[job.spec.team] += job.spec.need;
 }
 
 void Owner::set_idle(Job& job, Slot& slot) {
     Machine& m = *slot.machine;
     const auto task = static_cast<int>(&slot - job.slots.data());
+    auto& part = job.part_of(task);
+    if (slot.state == SlotState::Binding) --part.binding;
+    part.bytes -= binding_bytes(m);
     m.booked -= job.spec.need;
-    m.tasks.erase({job.spec.ref, task});
+    m.tasks.erase({&job, task});
     if (m.tasks.empty()) m.idle_since = context_.host().now();
     usage_[job.spec.team] -= job.spec.need;
     slot.machine = nullptr;
@@ -459,6 +535,7 @@
     slot.seen = slot.foreign = slot.launch_sent = slot.stop = false;
     --job.bound;
     ++job.idle;
+    plan_due_ = true;
 }
 
 void Owner::gone(Job& job, int task, Micros retry_in) {
@@ -469,6 +546,7 @@
     slot.retry_at = now + retry_in;
     if (job.idle == 1) job.waiting_since = now;
     dirty_.insert(job.spec.ref);
+    flush_due_ = true;
     if (job.gang_done)
         mark_done(job, task);
     else if (job.spec.kind == JobKind::Gang)
@@ -483,8 +561,7 @@
     --job.idle;
     ++job.done;
     slot.state = SlotState::DonePending;
-    job.parts[static_cast<std::size_t>(task) / kPartTasks].dirty = true;
-    dirty_.insert(job.spec.ref);
+    touch(job, static_cast<std::size_t>(task) / job.part_tasks);
 }
 
 void Owner::stop_slot(Slot& slot, Micros grace) {
@@ -492,6 +569,7 @@
     slot.stop = true;
     slot.grace = grace;
     slot.stop_sent = 0;
+    if (slot.machine) poke(*slot.machine);
 }
 
 void Owner::cancel(Job& job) {
@@ -543,11 +621,11 @@
             m.error_jobs.insert(job.spec.ref);
             m.avoid_until = now + (m.error_jobs.size() >= 2 ? 60 * kSecond : 5 * kSecond);
         }
-        spdlog::info("task {}/{}: failed on {}, {} errors", job.spec.ref, task, m.block.machine, slot.errors);
+        spdlog::info("task {}/{}: failed on {}, {} errors", job.spec.ref, task, m.name, slot.errors);
     } else if (cause == ExitCause::NoRoom || cause == ExitCause::Busy || cause == ExitCause::Unknown) {
         retry = kSecond;
         if (cause == ExitCause::NoRoom) m.avoid_until = now + 2 * kSecond;
-        spdlog::info("task {}/{}: start refused on {}", job.spec.ref, task, m.block.machine);
+        spdlog::info("task {}/{}: start refused on {}", job.spec.ref, task, m.name);
     }
     gone(job, task, retry);
 }
@@ -560,6 +638,7 @@
     m.session = r.session;
     m.token_seen = std::max(m.token_seen, r.token);
     m.heard = context_.host().now();
+    m.suspect = false;
 }
 
 /// Applies a worker's message; `is_report` tells a report from the answer to a /do.
@@ -567,6 +646,7 @@
     const Micros now = context_.host().now();
     if (r.session < m.min_session) return;
     if (std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return;
+    const bool was_usable = usable(m);
     if (r.session > m.session) {
         m.taints.clear();  // /do names the session: what was sent to an earlier one is refused
         m.answer_launches.clear();
@@ -575,39 +655,32 @@
     m.seq = r.seq;
     m.token_seen = std::max(m.token_seen, r.token);
     m.heard = now;
+    m.suspect = false;
     if (r.notice && !m.notice) {
         m.notice = true;
         m.notice_end = now + *r.notice;
-        spdlog::info("machine {}: will be taken in {} s", m.block.machine, *r.notice / kSecond);
+        spdlog::info("machine {}: will be taken in {} s", m.name, *r.notice / kSecond);
+        drain_noticed(m);
     }
     std::erase_if(m.taints, [&](const auto& t) { return r.token > t.second.token; });
     if (is_report) std::erase_if(m.answer_launches, [&](const auto& l) { return r.seq > l.second; });
 
+    ++m.messages;
     forget_strays(m);
     m.exited.clear();
-    std::set<std::pair<std::string, int>> shown;
     for (const auto& t : r.tasks) {
-        auto it = jobs_.find(t.job);
-        Job* job = it == jobs_.end() ? nullptr : it->second.get();
+        Job* job = find_job(t.job);
         Slot* slot =
             job && t.task < job->spec.tasks ? &job->slots[static_cast<std::size_t>(t.task)] : nullptr;
         if (slot && slot->machine == &m && slot->attempt == t.attempt &&
             (slot->state == SlotState::Bound || slot->state == SlotState::Binding)) {
-            shown.insert({t.job, t.task});
+            slot->shown = m.messages;
             slot->seen = true;
             slot->launch_sent = true;
             if (slot->phase != Phase::Running && t.phase == Phase::Running) {
                 slot->run_since = now;
-                spdlog::debug("task {}/{}: runs on {}", t.job, t.task, m.block.machine);
-                std::erase_if(m.images, [&](const auto& i) { return i.first == job->spec.image; });
-                m.images.emplace_back(job->spec.image, job->spec.image_gb);
-                Milli total = 0;
-                for (const auto& i : m.images) total += i.second;
-                while (m.images.size() > 1 &&
-                       (m.images.size() > kMaxImages || (m.type && total > m.type->cache_gb))) {
-                    total -= m.images.front().second;
-                    m.images.erase(m.images.begin());
-                }
+                spdlog::debug("task {}/{}: runs on {}", t.job, t.task, m.name);
+                remember_image(m, *job);
             }
             slot->phase = t.phase;
             if (t.phase != Phase::Exited) continue;
@@ -626,12 +699,24 @@
         m.strays.push_back(t);
         ++stray_tasks_[{t.job, t.task}];
     }
-    for (const auto& [ref, task] : std::set(m.tasks)) {
-        if (shown.count({ref, task})) continue;
-        auto it = jobs_.find(ref);
-        if (it != jobs_.end()) absent(m, *it->second, task, r, is_report);
-    }
+    std::vector<TaskRef> missing;
+    for (const auto& t : m.tasks)
+        if (t.job->slots[static_cast<std::size_t>(t.task)].shown != m.messages) missing.push_back(t);
+    for (const auto& t : missing) absent(m, *t.job, t.task, r, is_report);
     if (!m.tasks.empty()) m.idle_since = now;
+    if (!m.strays.empty()) poke(m);
+    if (!was_usable && usable(m)) plan_due_ = true;
+}
+
+void Owner::remember_image(Machine& m, const Job& job) {
+    std::erase_if(m.images, [&](const auto& i) { return i.first == job.spec.image; });
+    m.images.emplace_back(job.spec.image, job.spec.image_gb);
+    Milli total = 0;
+    for (const auto& i : m.images) total += i.second;
+    while (m.images.size() > 1 && (m.images.size() > kMaxImages || (m.type && total > m.type->cache_gb))) {
+        total -= m.images.front().second;
+        m.images.erase(m.images.begin());
+    }
 }
 
 /// A bound task that a message does not show: gone, not launched yet, or in doubt.
@@ -648,6 +733,7 @@
         if (!other_session && !outdated && !answer_over) return;  // in doubt
         if (slot.foreign) return gone(job, task, 0);
         slot.launch_sent = false;
+        poke(m);
     }
     if (slot.stop && !still_live(m, slot, key)) gone(job, task, 0);
 }
@@ -660,7 +746,7 @@
 
 // ---------------------------------------------------------------- reports and orders
 
-std::optional<Owner::Answer> Owner::on_report(const Report& report, bool authorised) {
+std::optional<Owner::Answer> Owner::on_report(const Report& report, bool authorised, bool relayed) {
     auto it = machines_.find(report.machine);
     if (it == machines_.end()) return std::nullopt;
     Machine& m = *it->second;
@@ -670,14 +756,19 @@
         return std::nullopt;
     }
     if (!authorised || report.session < m.min_session) return std::nullopt;
+    const Micros now = context_.host().now();
+    if (m.addr.empty()) m.addr = report.addr;
+    m.relayed = relayed;
     if (active_)
         absorb(m, report, true);
     else
         greet(m, report);
-    m.answered = std::max(m.answered, context_.host().now());
-    Answer answer{token(m), {}};
+    m.answered = std::max(m.answered, now);
+    Answer answer{token(m), {}, now - m.direct_ok < kProbeEvery * 2};
     if (active_ && report.session == m.session && report.seq == m.seq) answer.orders = orders_for(m, false);
-    context_.wake();
+    // Whether the worker can be reached without help is found out by calling it now and then.
+    if (relayed && now - m.direct_ok > kProbeEvery) poke(m);
+    if (plan_due_ || flush_due_ || !due_.empty()) context_.wake();
     return answer;
 }
 
@@ -689,35 +780,34 @@
         // After a clear the attempt is unknown to the worker, and a launch that is still on its way would
         // start it once more: wait until none can be.
         if (m.taints.count(key) || m.answer_launches.count(key) || m.direct_launches.count(key)) continue;
-        auto it = jobs_.find(t.job);
-        if (it != jobs_.end() && t.task < it->second->spec.tasks) {
-            const Slot& slot = it->second->slots[static_cast<std::size_t>(t.task)];
+        const Job* job = find_job(t.job);
+        if (job && t.task < job->spec.tasks) {
+            const Slot& slot = job->slots[static_cast<std::size_t>(t.task)];
             if (slot.state == SlotState::DonePending) continue;  // durable first
         }
         orders.push_back({OrderKind::Clear, t.job, t.task, t.attempt, 0});
     }
     for (const auto& t : m.strays) orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
-    for (const auto& [ref, task] : m.tasks) {
-        Job& job = *jobs_.at(ref);
-        Slot& slot = job.slots[static_cast<std::size_t>(task)];
-        if (slot.state != SlotState::Bound) continue;
-        const AttemptKey key{ref, task, slot.attempt};
+    for (const auto& [job, task] : m.tasks) {
+        Slot& slot = job->slots[static_cast<std::size_t>(task)];
+        if (slot.state != SlotState::Bound || (slot.seen && !slot.stop)) continue;
+        const AttemptKey key{job->spec.ref, task, slot.attempt};
         if (slot.stop) {
-            if (!slot.launch_sent && !slot.seen) continue;  // never sent: given up in work()
+            if (!slot.launch_sent && !slot.seen) continue;  // never sent: given up in tick()
             if (slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every) continue;
             if (slot.phase == Phase::Saving && slot.grace > 0) continue;
             slot.stop_sent = now;
-            orders.push_back({OrderKind::Stop, ref, task, slot.attempt, slot.grace});
+            orders.push_back({OrderKind::Stop, key.job, task, slot.attempt, slot.grace});
             continue;
         }
-        if (slot.seen || job.stage != Stage::Queued || m.token_seen < token(m)) continue;
+        if (job->stage != Stage::Queued || m.token_seen < token(m)) continue;
         if (slot.foreign || m.direct_launches.count(key)) continue;
-        if (job.spec.kind == JobKind::Gang &&
-            std::any_of(job.slots.begin(), job.slots.end(),
+        if (job->spec.kind == JobKind::Gang &&
+            std::any_of(job->slots.begin(), job->slots.end(),
                         [](const Slot& s) { return s.state != SlotState::Bound; }))
             continue;
-        // The answer to a report is the second way; it is taken when the direct one did not work.
-        if (!direct && (m.direct_backoff == 0 || m.answer_launches.count(key))) continue;
+        // The answer to a report is the second way; it is taken when the direct one does not work.
+        if (!direct && ((m.direct_backoff == 0 && !m.relayed) || m.answer_launches.count(key))) continue;
         slot.launch_by_answer = !direct && !m.taints.count(key);
         slot.launch_sent = true;
         slot.launch_token = token(m);
@@ -727,199 +817,337 @@
             m.direct_launches.insert(key);
         else
             m.answer_launches[key] = m.seq;
-        orders.push_back({OrderKind::Launch, ref, task, slot.attempt, 0});
+        orders.push_back({OrderKind::Launch, key.job, task, slot.attempt, 0});
     }
     return orders;
 }
 
+/// Puts a machine on the list of those to send to.
+void Owner::poke(Machine& m) {
+    if (m.due) return;
+    m.due = true;
+    due_.push_back(m.name);
+    context_.wake();
+}
+
 void Owner::send_orders() {
-    const Micros now = context_.host().now();
-    for (auto& [name, owned] : machines_) {
-        Machine& m = *owned;
-        if (m.direct_in_flight || now < m.direct_after || m.block.addr.empty()) continue;
-        const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
-        if (show_token && m.session == 0) {
-            // The session is not known yet: ask for the worker's report first.
-            m.direct_in_flight = true;
-        }
-        std::vector<Order> orders;
-        if (m.session > 0 && !show_token) orders = orders_for(m, true);
-        if (!show_token && orders.empty()) continue;
-        m.direct_in_flight = true;
-        Call call;
-        call.target = Target::Worker;
-        call.addr = m.block.addr;
-        call.timeout = 2500 * kMillisecond;
-        if (m.session > 0) {
-            call.method = "POST";
-            call.path = "/do";
-            call.body = wire::direct_orders(token(m), m.session, orders);
-        } else {
-            call.method = "GET";
-            call.path = "/show";
+    if (due_.empty()) return;
+    const int most = static_cast<int>(context_.settings().sockets / 16);
+    std::vector<std::string> later;
+    for (const auto& name : std::exchange(due_, {})) {
+        auto it = machines_.find(name);
+        if (it == machines_.end()) continue;
+        if (direct_calls_ >= most) {
+            later.push_back(name);
+            continue;
         }
-        const std::uint64_t sent_token = token(m);
-        const std::uint64_t sent_session = m.session;
-        context_.host().call(std::move(call), [this, alive = alive_, machine = name, sent_token,
-                                               sent_session](const Reply& r) {
-            if (!*alive) return;
-            auto it = machines_.find(machine);
-            if (it == machines_.end()) return;
-            Machine& x = *it->second;
-            x.direct_in_flight = false;
-            auto launched = std::exchange(x.direct_launches, {});
-            auto report = r.status == 200 || r.status == 409 ? wire::parse_report(r.body) : std::nullopt;
-            context_.wake();
-            if (!report || report->machine != machine) {
-                // No answer: each launch in it may still be executed, as long as token and session match.
-                for (const auto& key : launched) {
-                    x.taints.insert({key, {sent_token, sent_session, context_.host().now()}});
-                    // It stays in doubt, and is sent again: a repeated launch has no effect.
-                }
-                x.direct_backoff = std::clamp(x.direct_backoff * 2, kSecond, 4 * kSecond);
-                x.direct_after = context_.host().now() + x.direct_backoff;
-                for (const auto& [ref, task] : x.tasks) {
-                    Slot& slot = jobs_.at(ref)->slots[static_cast<std::size_t>(task)];
-                    if (slot.state == SlotState::Bound && slot.launch_sent && !slot.seen)
-                        slot.launch_by_answer = false;
-                }
-                return;
-            }
-            x.direct_backoff = 0;
-            x.direct_after = 0;
-            if (report->token > token(x)) return context_.ousted(domain_);
-            if (active_)
-                absorb(x, *report, false);
-            else
-                greet(x, *report);
-            // Asked again, if it must be, but not at once: what it tells may be no use for a while.
-            if (r.status == 409 || x.seq == 0 || x.token_seen < token(x))
-                x.direct_after = context_.host().now() + 200 * kMillisecond;
-            // Answered: what the worker does not show was not started and will not be.
-            for (const auto& key : launched) {
-                auto job = jobs_.find(key.job);
-                if (job == jobs_.end()) continue;
-                Slot& slot = job->second->slots[static_cast<std::size_t>(key.task)];
-                if (slot.state == SlotState::Bound && slot.attempt == key.attempt && !slot.seen &&
-                    !x.taints.count(key))
-                    slot.launch_sent = false;
+        it->second->due = false;
+        send_to(*it->second);
+    }
+    due_.insert(due_.end(), later.begin(), later.end());
+}
+
+void Owner::send_to(Machine& m) {
+    const Micros now = context_.host().now();
+    if (m.direct_in_flight || now < m.direct_after || m.addr.empty()) return;
+    // A worker that only others reach gets its orders in the answers to its reports.
+    const bool probe = m.relayed && now - m.direct_ok > kProbeEvery;
+    if (m.relayed && !probe) return;
+    const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
+    std::vector<Order> orders;
+    if (m.session > 0 && !show_token && !probe) orders = orders_for(m, true);
+    const bool idle =
+        std::all_of(orders.begin(), orders.end(), [](const Order& o) { return o.kind == OrderKind::Clear; });
+    if (!show_token && !probe && idle) return;  // the next report's answer will do
+    // Where the session is not known yet, the first one is as good a guess as any: if it is another, the
+    // answer tells.
+    const std::uint64_t session = std::max<std::uint64_t>(m.session, 1);
+    m.direct_in_flight = true;
+    ++direct_calls_;
+    Call call;
+    call.target = Target::Worker;
+    call.addr = m.addr;
+    call.timeout = 2500 * kMillisecond;
+    call.method = "POST";
+    call.path = "/do";
+    call.body = wire::direct_orders(token(m), session, orders);
+    context_.host().call(std::move(call), [this, alive = alive_, machine = m.name, sent_token = token(m),
+                                           session](const Reply& r) {
+        if (!*alive) return;
+        --direct_calls_;
+        auto it = machines_.find(machine);
+        if (it == machines_.end()) return;
+        Machine& x = *it->second;
+        x.direct_in_flight = false;
+        auto launched = std::exchange(x.direct_launches, {});
+        auto report = r.status == 200 || r.status == 409 ? wire::parse_report(r.body) : std::nullopt;
+        context_.wake();
+        if (r.status == kNotSent) return not_sent(x, launched);
+        if (!report || report->machine != machine) return unanswered(x, launched, sent_token, session);
+        x.direct_backoff = 0;
+        x.direct_after = 0;
+        x.direct_ok = context_.host().now();
+        if (report->token > token(x)) return context_.ousted(domain_);
+        if (active_)
+            absorb(x, *report, false);
+        else
+            greet(x, *report);
+        // Asked again, if it must be, but not at once: what it tells may be no use for a while.
+        if (r.status == 409 || x.seq == 0 || x.token_seen < token(x))
+            x.direct_after = context_.host().now() + 100 * kMillisecond;
+        // Answered: what the worker does not show was not started and will not be.
+        for (const auto& key : launched) {
+            Job* job = find_job(key.job);
+            if (!job) continue;
+            Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
+            if (slot.state == SlotState::Bound && slot.attempt == key.attempt && !slot.seen &&
+                !x.taints.count(key)) {
+                slot.launch_sent = false;
+                poke(x);
             }
-        });
+        }
+    });
+}
+
+/// No connection came about, so nothing was or will be executed: what was to be launched can run elsewhere,
+/// and nothing more is bound there until the machine is heard of again.
+void Owner::not_sent(Machine& m, const std::set<AttemptKey>& launched) {
+    const Micros now = context_.host().now();
+    m.direct_backoff = std::clamp(m.direct_backoff * 2, kSecond, 8 * kSecond);
+    m.direct_after = now + m.direct_backoff;
+    m.suspect = true;
+    for (const auto& key : launched) {
+        Job* job = find_job(key.job);
+        if (!job) continue;
+        Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
+        if (slot.state != SlotState::Bound || slot.attempt != key.attempt || slot.seen) continue;
+        if (m.taints.count(key) || m.answer_launches.count(key)) continue;  // sent earlier, or otherwise
+        slot.launch_sent = false;
+        spdlog::info("task {}/{}: {} can't be reached, to be placed elsewhere", key.job, key.task, m.name);
+        gone(*job, key.task, 0);
     }
 }
 
-/// Raises one machine's token by rewriting its block record, which ends all doubt about unanswered launches.
-void Owner::bump(Machine& m) {
-    if (m.bumping) return;
-    m.bumping = true;
-    Change change;
-    change.when.push_back({keys::domain + domain_, mark_});
-    change.when.push_back({keys::block + m.block.machine, m.block.mark});
-    change.then.push_back({keys::block + m.block.machine, m.block.value()});
-    context_.store().commit(std::move(change),
-                            [this, alive = alive_, name = m.block.machine](const CommitResult& r) {
-                                if (!*alive) return;
-                                auto it = machines_.find(name);
-                                if (it == machines_.end()) return;
-                                it->second->bumping = false;
-                                if (r.status == CommitStatus::Ok)
-                                    it->second->block.mark = std::max(it->second->block.mark, r.revision);
-                                context_.wake();
-                            });
+/// No answer: each launch in it may still be executed, as long as token and session match. It stays in doubt,
+/// and is sent again: a repeated launch has no effect.
+void Owner::unanswered(Machine& m, const std::set<AttemptKey>& launched, std::uint64_t sent_token,
+                       std::uint64_t session) {
+    const Micros now = context_.host().now();
+    for (const auto& key : launched) m.taints.insert({key, {sent_token, session, now}});
+    m.direct_backoff = std::clamp(m.direct_backoff * 2, kSecond, 4 * kSecond);
+    m.direct_after = now + m.direct_backoff;
+    m.suspect = true;
+    for (const auto& [job, task] : m.tasks) {
+        Slot& slot = job->slots[static_cast<std::size_t>(task)];
+        if (slot.state == SlotState::Bound && slot.launch_sent && !slot.seen) slot.launch_by_answer = false;
+    }
+}
+
+/// Raises one machine's token in its block record, which ends all doubt about unanswered launches. The other
+/// machines of the block keep theirs.
+void Owner::raise(Machine& m) {
+    if (m.raising) return;
+    m.raising = true;
+    context_.edit_machine(domain_, m.name, OwnerContext::MachineEdit::Raise,
+                          [this, alive = alive_, name = m.name](bool) {
+                              if (!*alive) return;
+                              auto it = machines_.find(name);
+                              if (it != machines_.end()) it->second->raising = false;
+                              context_.wake();
+                          });
 }
 
 void Owner::retire(const std::string& machine, const char* why) {
     auto it = machines_.find(machine);
-    if (it == machines_.end() || it->second->retiring || it->second->block.retired) return;
-    Machine& m = *it->second;
-    m.retiring = true;
+    if (it == machines_.end() || it->second->retiring || it->second->retired) return;
+    it->second->retiring = true;
     spdlog::info("machine {}: to be returned: {}", machine, why);
-    Block next = m.block;
-    next.retired = true;
-    Change change;
-    change.when.push_back({keys::domain + domain_, mark_});
-    change.when.push_back({keys::block + machine, m.block.mark});
-    change.then.push_back({keys::block + machine, next.value()});
-    context_.store().commit(std::move(change), [this, alive = alive_, machine](const CommitResult& r) {
-        if (!*alive) return;
-        auto found = machines_.find(machine);
-        if (found == machines_.end()) return;
-        if (r.status == CommitStatus::Ok) {
-            found->second->block.retired = true;
-            found->second->block.mark = std::max(found->second->block.mark, r.revision);
-        }
-        // Without an answer the mark may still be set: the machine stays set aside until the next try tells.
-        found->second->retiring = false;
-        if (r.status != CommitStatus::Ok) found->second->avoid_until = context_.host().now() + 10 * kSecond;
-    });
+    context_.edit_machine(domain_, machine, OwnerContext::MachineEdit::Retire,
+                          [this, alive = alive_, machine](bool) {
+                              if (!*alive) return;
+                              auto found = machines_.find(machine);
+                              if (found != machines_.end()) found->second->retiring = false;
+                          });
 }
 
 // ---------------------------------------------------------------- the pass over everything
 
 void Owner::activate() {
     active_ = true;
-    orphan_parts_.clear();
     for (auto& [ref, job] : jobs_)
         if (job->spec.kind == JobKind::Gang && job->idle > 0 && job->bound > 0) settle_gang(*job);
     spdlog::info("domain {}: active with {} jobs and {} machines, token {}", domain_, jobs_.size(),
                  machines_.size(), mark_);
 }
 
-void Owner::work() {
+void Owner::tick() {
     const Micros now = context_.host().now();
-    if (!active_) {
-        send_orders();
-        return;
-    }
     for (auto& [name, owned] : machines_) {
         Machine& m = *owned;
-        if (!m.type) m.type = context_.machine_type(m.block.type);
-        if (!m.tasks.empty() && now > proof_time(m)) {
+        if (!m.type) m.type = context_.machine_type(m.type_name);
+        if (m.token_seen < token(m) || (active_ && m.seq == 0)) poke(m);
+        if (!active_) continue;
+        if (!m.strays.empty()) poke(m);
+        const bool stale_taint = std::any_of(m.taints.begin(), m.taints.end(), [&](const auto& t) {
+            return now - t.second.since > 3 * kSecond && t.second.token >= token(m);
+        });
+        if (stale_taint && silent_for(m) < 2 * context_.settings().report_every) raise(m);
+        if (m.tasks.empty()) continue;
+        if (lease_over(m)) {
             void_machine(m, "its lease is over");
             m.min_session = m.session + 1;
+            continue;
         }
-        // Tasks to be stopped whose launch was never sent, or can no longer arrive.
-        for (const auto& [ref, task] : std::set(m.tasks)) {
-            auto it = jobs_.find(ref);
-            if (it == jobs_.end()) continue;
-            Slot& slot = it->second->slots[static_cast<std::size_t>(task)];
-            if (slot.state == SlotState::Bound && slot.stop && !slot.seen && !slot.foreign &&
-                !still_live(m, slot, {ref, task, slot.attempt}))
-                gone(*it->second, task, 0);
+        // Tasks to be stopped whose launch was never sent, or can no longer arrive; and what is to be sent.
+        std::vector<TaskRef> dead;
+        for (const auto& t : m.tasks) {
+            const Slot& slot = t.job->slots[static_cast<std::size_t>(t.task)];
+            if (slot.state != SlotState::Bound) continue;
+            if (slot.stop || !slot.seen) poke(m);
+            if (slot.stop && !slot.seen && !slot.foreign &&
+                !still_live(m, slot, {t.job->spec.ref, t.task, slot.attempt}))
+                dead.push_back(t);
         }
-        const bool stale_taint = std::any_of(m.taints.begin(), m.taints.end(), [&](const auto& t) {
-            return now - t.second.since > 3 * kSecond && t.second.token >= token(m);
-        });
-        if (stale_taint && silent_for(m) < 2 * context_.settings().report_every) bump(m);
+        for (const auto& t : dead) gone(*t.job, t.task, 0);
+        if (m.notice && now <= m.notice_end) drain_noticed(m);
     }
-    drain_noticed();
-    plan();
-    flush_jobs();
+    flush_due_ = true;
+    if (std::any_of(jobs_.begin(), jobs_.end(),
+                    [](const auto& j) { return j.second->idle > 0 && j.second->stage == Stage::Queued; }))
+        plan_due_ = true;
+    work();
+}
+
+void Owner::work() {
+    const Micros now = context_.host().now();
+    if (active_ && plan_due_) {
+        if (now - planned_at_ >= kPlanEvery) {
+            plan_due_ = false;
+            planned_at_ = now;
+            plan();
+        } else {
+            context_.host().after(planned_at_ + kPlanEvery - now, [this, alive = alive_] {
+                if (*alive) context_.wake();
+            });
+        }
+    }
+    if (active_ && std::exchange(flush_due_, false)) flush_jobs();
     send_orders();
 }
 
 /// Work that can save itself is stopped in time on a machine that will be taken.
-void Owner::drain_noticed() {
-    const Micros now = context_.host().now();
-    for (auto& [name, owned] : machines_) {
-        Machine& m = *owned;
-        if (!m.notice || now > m.notice_end) continue;
-        for (const auto& [ref, task] : m.tasks) {
-            Job& job = *jobs_.at(ref);
-            Slot& slot = job.slots[static_cast<std::size_t>(task)];
-            if (slot.state != SlotState::Bound || slot.stop) continue;
-            if (job.spec.kind == JobKind::Gang) {
-                for (auto& s : job.slots)
-                    if (s.state == SlotState::Bound) stop_slot(s, job.spec.save + kSecond);
-            } else if (job.spec.kind == JobKind::Service || job.spec.checkpoint > 0) {
-                stop_slot(slot, job.spec.save + kSecond);
-            }
+void Owner::drain_noticed(Machine& m) {
+    for (const auto& [job, task] : std::set(m.tasks)) {
+        Slot& slot = job->slots[static_cast<std::size_t>(task)];
+        if (slot.state != SlotState::Bound || slot.stop) continue;
+        if (job->spec.kind == JobKind::Gang) {
+            for (auto& s : job->slots)
+                if (s.state == SlotState::Bound) stop_slot(s, job->spec.save + kSecond);
+        } else if (job->spec.kind == JobKind::Service || job->spec.checkpoint > 0) {
+            stop_slot(slot, job->spec.save + kSecond);
         }
     }
 }
 
+// ---------------------------------------------------------------- what others are told, and given
+
+peer::DomainLoad Owner::load() const {
+    peer::DomainLoad d;
+    d.domain = domain_;
+    d.mark = mark_;
+    d.jobs = static_cast<std::uint32_t>(jobs_.size());
+    for (const auto& [name, m] : machines_) {
+        if (!m->type || m->retired) continue;
+        ++d.machines;
+        d.capacity += m->type->size.cores;
+        if (!usable(*m)) continue;
+        (m->spot ? d.free_spot : d.free_ordinary) += m->type->size.cores - m->booked.cores;
+        if (m->tasks.empty()) (m->spot ? d.idle_spot : d.idle_ordinary) += m->type->size.cores;
+    }
+    std::map<std::string, Resources> waiting;
+    for (const auto& [ref, job] : jobs_) {
+        if (job->stage != Stage::Queued || job->idle == 0) continue;
+        auto& w = waiting[job->spec.team];
+        w.cores += job->spec.need.cores * job->idle;
+        w.cards += job->spec.need.cards * job->idle;
+        d.waiting += job->spec.need.cores * job->idle;
+    }
+    for (const auto& team : context_.settings().teams) {
+        auto used = usage_.find(team.name);
+        d.teams.push_back({team.name, context_.share(domain_, team.name),
+                           used == usage_.end() ? Resources{} : used->second, waiting[team.name]});
+    }
+    return d;
+}
+
+std::optional<peer::Want> Owner::want() const {
+    if (!active_) return std::nullopt;
+    const Micros now = context_.host().now();
+    // The job that has waited longest for room speaks for those that need the same.
+    const Job* first = nullptr;
+    for (const auto& [ref, job] : jobs_)
+        if (job->stage == Stage::Queued && job->idle > 0 && now - job->waiting_since > kWantAfter &&
+            quota_allows(*job, 1) && (!first || job->serial < first->serial))
+            first = job.get();
+    if (!first) return std::nullopt;
+    peer::Want w;
+    w.domain = domain_;
+    w.mark = mark_;
+    w.task = first->spec.need;
+    w.spot = first->spec.spot;
+    if (first->spec.zone) w.zone = *first->spec.zone;
+    if (first->spec.types && first->spec.types->size() == 1) w.type = first->spec.types->front();
+    for (const auto& [ref, job] : jobs_)
+        if (job->stage == Stage::Queued && job->spec.spot == first->spec.spot &&
+            now - job->waiting_since > kWantAfter)
+            w.cores += job->spec.need.cores * job->idle;
+    return w;
+}
+
+std::vector<std::string> Owner::offer(const peer::Want& want) {
+    std::vector<std::string> names;
+    if (!active_) return names;
+    const Micros now = context_.host().now();
+    std::vector<Machine*> idle;
+    for (auto& [name, m] : machines_) {
+        if (!usable(*m) || !m->tasks.empty() || !m->exited.empty() || !m->taints.empty()) continue;
+        if (!m->answer_launches.empty() || m->direct_in_flight || m->raising) continue;
+        if (now - m->idle_since < kIdleOffer) continue;
+        if ((m->spot && !want.spot) || !want.task.fits(m->type->size)) continue;
+        if (!want.type.empty() && want.type != m->type_name) continue;
+        if (!want.zone.empty() && want.zone != m->zone) continue;
+        idle.push_back(m.get());
+    }
+    // Half of what is idle stays, for what may come here next.
+    const std::size_t most = (idle.size() + 1) / 2;
+    Milli given = 0;
+    for (Machine* m : idle) {
+        if (names.size() >= most || given >= want.cores) break;
+        m->leaving = true;
+        given += m->type->size.cores;
+        names.push_back(m->name);
+    }
+    return names;
+}
+
+void Owner::keep(const std::vector<std::string>& machines) {
+    for (const auto& name : machines)
+        if (auto it = machines_.find(name); it != machines_.end()) it->second->leaving = false;
+    plan_due_ = true;
+}
+
+Resources Owner::spare_share(const std::string& team) const {
+    Resources spare = context_.share(domain_, team);
+    if (auto used = usage_.find(team); used != usage_.end()) spare -= used->second;
+    for (const auto& [ref, job] : jobs_)
+        if (job->stage == Stage::Queued && job->spec.team == team) {
+            spare.cores -= job->spec.need.cores * job->idle;
+            spare.cards -= job->spec.need.cards * job->idle;
+        }
+    return {std::max<Milli>(spare.cores, 0), std::max<Milli>(spare.cards, 0), 0};
+}
+
 Value Owner::status() const {
-    Value jobs = Value::array();
     int waiting = 0, running = 0;
     for (const auto& [ref, job] : jobs_) {
         waiting += job->idle;
@@ -928,13 +1156,15 @@
     Value machines = Value::array();
     for (const auto& [name, m] : machines_)
         machines.push_back({{"name", name},
-                            {"type", m->block.type},
-                            {"zone", m->block.zone},
-                            {"spot", m->block.spot},
+                            {"block", m->block},
+                            {"type", m->type_name},
+                            {"zone", m->zone},
+                            {"spot", m->spot},
                             {"tasks", m->tasks.size()},
                             {"in_doubt", m->taints.size()},
                             {"silent_ms", silent_for(*m) / kMillisecond},
-                            {"retired", m->block.retired}});
+                            {"relayed", m->relayed},
+                            {"retired", m->retired}});
     return {{"domain", domain_},    {"token", mark_},           {"active", active_},
             {"jobs", jobs_.size()}, {"tasks_waiting", waiting}, {"tasks_bound", running},
             {"machines", machines}};
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -13,35 +13,15 @@
 
 #include "core/host.hpp"
 #include "core/placement.hpp"
+#include "core/records.hpp"
+#include "peer/messages.hpp"
 #include "settings/settings.hpp"
 #include "state/store.hpp"
 #include "wire/wire.hpp"
 
 namespace cottonway {
 
-/// A machine's block record: whose it is, where it is, and whether it is being returned.
-struct Block {
-    std::string machine;
-    std::string domain;
-    std::string type;
-    std::string zone;
-    std::string addr;
-    bool spot = false;
-    bool retired = false;
-    Revision mark = 0;
-
-    Value value() const;
-    static std::optional<Block> parse(const std::string& machine, const Value& v, Revision mark);
-};
-
-namespace keys {
-inline const std::string root = "c/";
-inline const std::string live = "c/live/";
-inline const std::string domain = "c/domain/";
-inline const std::string block = "c/block/";
-inline const std::string job = "c/job/";
-inline const std::string part = "c/part/";
-}  // namespace keys
+struct Job;
 
 /// Names one attempt at a task.
 struct AttemptKey {
@@ -51,12 +31,33 @@
     auto operator<=>(const AttemptKey&) const = default;
 };
 
+/// A task of a job in the owner's memory; ordered by admission, not by address, so that runs repeat.
+struct TaskRef {
+    Job* job = nullptr;
+    int task = 0;
+    bool operator<(const TaskRef& o) const;
+};
+
+/// What another controller has promised about a machine: not to renew its lease any more.
+struct Promise {
+    Micros until = 0;
+    Micros renewed = 0;  // when it may have done so last
+};
+
 struct Machine {
-    Block block;
+    std::string name;
+    std::string block;
+    std::string type_name;
+    std::string zone;
+    std::string addr;
+    bool spot = false;
+    bool retired = false;
+    std::uint64_t token = 0;  // of its block record; the domain's mark may be higher
     const MachineType* type = nullptr;
     std::uint64_t session = 0;
     std::uint64_t seq = 0;
     std::uint64_t token_seen = 0;
+    std::uint64_t messages = 0;     // taken in so far
     std::uint64_t min_session = 0;  // earlier sessions are proven over
     Micros heard = 0;
     Micros answered = 0;  // when a report was last answered 200
@@ -64,9 +65,10 @@
     bool notice = false;
     Micros notice_end = 0;
     Resources booked;
-    std::set<std::pair<std::string, int>> tasks;
+    std::set<TaskRef> tasks;
     std::vector<ReportedTask> exited;
     std::vector<ReportedTask> strays;
+    std::vector<Promise> promises;  // by peer
     /// Launches sent by /do that were not answered: live until the worker's token or session is raised.
     struct Taint {
         std::uint64_t token = 0;
@@ -80,8 +82,13 @@
     bool direct_in_flight = false;
     Micros direct_after = 0;
     Micros direct_backoff = 0;
-    bool bumping = false;
-    bool retiring = false;
+    Micros direct_ok = 0;   // when it last answered a call of ours
+    bool relayed = false;   // its last report came through another controller
+    bool suspect = false;   // a connection to it did not come about; until it is heard again
+    bool due = false;       // in the owner's list of machines to send to
+    bool raising = false;   // its token is being raised
+    bool retiring = false;  // being marked as retired
+    bool leaving = false;   // being given to another domain
     bool draining = false;  // nothing new is bound to it
     Micros idle_since = 0;
     Micros avoid_until = 0;
@@ -105,6 +112,7 @@
     std::uint64_t launch_token = 0;
     std::uint64_t launch_session = 0;
     std::uint64_t launch_seq = 0;
+    std::uint64_t shown = 0;  // the last of its machine's messages that showed it
     Micros grace = 0;
     Micros stop_sent = 0;
     Micros run_since = 0;
@@ -116,12 +124,14 @@
 
 struct Job {
     JobSpec spec;
+    std::uint64_t serial = 0;
     Stage stage = Stage::Queued;
     std::int64_t submitted_ms = 0;
     std::vector<Slot> slots;
     std::int64_t next_attempt = 1;
     int idle = 0, bound = 0, done = 0;  // by state; Binding counts as bound, DonePending as done
     Micros waiting_since = 0;
+    Micros preempted_at = 0;
     bool within_guarantee = false;
     bool gang_stopping = false;
     bool gang_done = false;  // one task is done, so all are; each counts until it is proven gone
@@ -132,10 +142,15 @@
         bool dirty = false;
         bool in_flight = false;
         bool reloading = false;
+        int binding = 0;        // tasks whose bind waits for this part to be written
+        std::size_t bytes = 0;  // of bindings, when written
+        Micros dirty_since = 0;
         Micros not_before = 0;
     };
+    std::size_t part_tasks = 64;
     std::vector<Part> parts;
 
+    Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
     /// Nothing of it is left to run, to stop or to wait for.
     bool over() const {
         return stage == Stage::Cancelled ? bound == 0 : spec.kind != JobKind::Service && done == spec.tasks;
@@ -146,6 +161,10 @@
     std::map<std::string, int> zones() const;
 };
 
+inline bool TaskRef::operator<(const TaskRef& o) const {
+    return job->serial != o.job->serial ? job->serial < o.job->serial : task < o.task;
+}
+
 /// What the owner needs of the controller around it.
 class OwnerContext {
   public:
@@ -156,6 +175,15 @@
     virtual const MachineType* machine_type(const std::string& name) = 0;
     virtual void ousted(const std::string& domain) = 0;
     virtual void wake() = 0;
+    /// The domain's stored part of a team's limit, less what is being given away.
+    virtual Resources share(const std::string& domain, const std::string& team) const = 0;
+    /// From when on a peer that is not alive can renew no lease; nothing while it may.
+    virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
+
+    enum class MachineEdit { Raise, Retire };
+    /// Rewrites the block record that lists the machine; the outcome arrives as news of the record.
+    virtual void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
+                              std::function<void(bool)> done) = 0;
 };
 
 class Owner {
@@ -167,24 +195,27 @@
     Revision mark() const { return mark_; }
     bool active() const { return active_; }
 
-    // Loading, in this order: blocks, jobs and parts, then activate.
-    void on_block(const Block& block);
-    void on_block_gone(const std::string& machine);
+    // Loading: machines, then jobs, then their parts, then activate.
+    void on_machine(const Block& block, const Block::Machine& entry);
+    void on_machine_gone(const std::string& name, const char* why);
     void on_job(const std::string& ref, const Value& value, Revision mark);
-    void on_part(const std::string& name, const Value& value, Revision mark);
+    void on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark);
     void activate();
 
-    /// The orders to answer a report with, or nothing if the report shows a higher token than ours.
+    /// The orders to answer a report with, or nothing if it must not be answered.
     struct Answer {
         std::uint64_t token = 0;
         std::vector<Order> orders;
+        bool direct = true;
     };
-    std::optional<Answer> on_report(const Report& report, bool authorised);
+    std::optional<Answer> on_report(const Report& report, bool authorised, bool relayed = false);
 
-    /// Everything that follows from what has come in: places, commits, sends.
+    /// What follows from what has come in: places, commits, sends.
     void work();
+    /// What follows from time passing; called about ten times a second.
+    void tick();
 
-    // For the fleet.
+    // For the fleet and for other domains.
     const std::map<std::string, std::unique_ptr<Machine>>& machines() const { return machines_; }
     const std::map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
     void retire(const std::string& machine, const char* why);
@@ -192,15 +223,29 @@
     void drain(const std::string& machine, bool on);
     /// Whether everything on it ends by itself before long and could have run elsewhere.
     bool passing(const Machine& m) const;
+    peer::DomainLoad load() const;
+    /// What waits for room, if anything has for a while.
+    std::optional<peer::Want> want() const;
+    /// What waits for a larger part of a team's limit.
+    std::map<std::string, Resources> short_of_share() const { return short_of_share_; }
+    /// Idle machines that would hold such tasks, for another domain; from here on nothing is bound to them
+    /// until `keep`.
+    std::vector<std::string> offer(const peer::Want& want);
+    void keep(const std::vector<std::string>& machines);
+    /// What of the team's share neither is in use nor waited for.
+    Resources spare_share(const std::string& team) const;
+    /// Silent machines with tasks, for which `peer` has not promised to renew no leases.
+    std::vector<std::string> to_renounce(std::size_t peer) const;
+    void renounced(std::size_t peer, const std::string& machine, Promise promise);
     Value status() const;
-    /// Room that placement would consider for a job on a machine.
+
     bool allowed(const Job& job, const Machine& m) const;
     bool quota_allows(const Job& job, int tasks) const;
 
   private:
-    std::uint64_t token(const Machine& m) const { return std::max<std::uint64_t>(mark_, m.block.mark); }
+    std::uint64_t token(const Machine& m) const { return std::max<std::uint64_t>(mark_, m.token); }
     bool usable(const Machine& m) const;
-    Micros proof_time(const Machine& m) const;
+    bool lease_over(const Machine& m) const;
 
     void greet(Machine& m, const Report& report);
     void absorb(Machine& m, const Report& report, bool is_report);
@@ -208,6 +253,7 @@
     void exited(Machine& m, Job& job, int task, ExitCause cause);
     void gone(Job& job, int task, Micros retry_in);
     void forget_strays(Machine& m);
+    static void remember_image(Machine& m, const Job& job);
     void void_machine(Machine& m, const char* why);
     bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const;
 
@@ -218,25 +264,37 @@
     void cancel(Job& job);
     void settle_gang(Job& job);
     void drop_job(const std::string& ref);
+    Job* find_job(const std::string& ref) const;
 
     void plan();
     bool plan_job(Job& job);
-    bool plan_gang(Job& job, std::vector<Candidate>& candidates, std::vector<Machine*>& machines);
+    bool plan_gang(Job& job, const std::vector<Candidate>& candidates, const std::vector<Machine*>& machines);
     void preempt(Job& job);
-    std::vector<Candidate> candidates_for(const Job& job, std::vector<Machine*>& machines);
+    std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
     std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
                              const std::vector<Machine*>& machines);
-    void drain_noticed();
+    bool hopeless(const Job& job) const;
+    void remember_no_room(const Job& job);
+    void drain_noticed(Machine& m);
 
+    void touch(Job& job, std::size_t part);
     void flush_jobs();
-    void write_part(Job& job, std::size_t part);
+    void write_part(Job& job, std::size_t part, Priority priority);
+    void written(const std::string& ref, std::size_t part, bool final_record,
+                 const std::vector<AttemptKey>& binding, const std::vector<int>& done,
+                 const CommitResult& result);
     void reload(const std::string& ref, std::size_t part);
     Value part_value(const Job& job, std::size_t part, bool final_record) const;
     void adopt_part(Job& job, std::size_t part, const Value& value, Revision mark);
 
     std::vector<Order> orders_for(Machine& m, bool direct);
+    void poke(Machine& m);
     void send_orders();
-    void bump(Machine& m);
+    void send_to(Machine& m);
+    void not_sent(Machine& m, const std::set<AttemptKey>& launched);
+    void unanswered(Machine& m, const std::set<AttemptKey>& launched, std::uint64_t token,
+                    std::uint64_t session);
+    void raise(Machine& m);
 
     OwnerContext& context_;
     std::string domain_;
@@ -245,13 +303,29 @@
     bool active_ = false;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     std::map<std::string, std::unique_ptr<Job>> jobs_;
-    std::map<std::string, std::vector<std::pair<std::size_t, std::pair<Value, Revision>>>> orphan_parts_;
+    std::uint64_t next_serial_ = 1;
     std::map<std::string, Resources> usage_;  // by team
+    std::map<std::string, Resources> short_of_share_;
     std::map<std::pair<std::string, int>, int> stray_tasks_;
     std::set<std::string> dirty_;
+    std::vector<std::string> due_;  // machines to send orders to
+    int direct_calls_ = 0;
+    bool plan_due_ = true;
+    bool flush_due_ = false;
+    Micros planned_at_ = 0;
+    /// What found no room in the current pass: whatever needs as much under the same constraints won't
+    /// either.
+    struct NoRoom {
+        bool spot;
+        std::optional<std::string> zone;
+        std::optional<std::vector<std::string>> types;
+        Resources need;
+    };
+    std::vector<NoRoom> no_room_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-constexpr int kPartTasks = 64;
+/// How many tasks fit into one stored part besides a description of `spec_bytes`.
+std::size_t part_tasks_for(std::size_t value_bytes, std::size_t spec_bytes);
 
 }  // namespace cottonway
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -2,42 +2,62 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "core/owner.hpp"
 #include "log/log.hpp"
 
 namespace cottonway {
 
+namespace {
+constexpr Micros kPreemptEvery = 300 * kMillisecond;
+constexpr std::size_t kBindingRoom = 20;  // bytes a task that a part has room for
+}  // namespace
+
 std::map<std::string, int> Job::zones() const {
     std::map<std::string, int> count;
     for (const auto& slot : slots)
-        if (slot.machine) ++count[slot.machine->block.zone];
+        if (slot.machine) ++count[slot.machine->zone];
     return count;
 }
 
 bool Owner::allowed(const Job& job, const Machine& m) const {
     const JobSpec& s = job.spec;
-    if (m.block.spot && !s.spot) return false;
-    if (s.zone && *s.zone != m.block.zone) return false;
-    return !s.types || std::find(s.types->begin(), s.types->end(), m.block.type) != s.types->end();
+    if (m.spot && !s.spot) return false;
+    if (s.zone && *s.zone != m.zone) return false;
+    return !s.types || std::find(s.types->begin(), s.types->end(), m.type_name) != s.types->end();
 }
 
 bool Owner::quota_allows(const Job& job, int tasks) const {
-    for (const auto& team : context_.settings().teams) {
-        if (team.name != job.spec.team) continue;
-        auto used = usage_.find(team.name);
-        Resources sum = used == usage_.end() ? Resources{} : used->second;
-        sum.cores += job.spec.need.cores * tasks;
-        sum.cards += job.spec.need.cards * tasks;
-        return sum.cores <= team.limit.cores && sum.cards <= team.limit.cards;
-    }
-    return false;
+    const Resources share = context_.share(domain_, job.spec.team);
+    auto used = usage_.find(job.spec.team);
+    Resources sum = used == usage_.end() ? Resources{} : used->second;
+    sum.cores += job.spec.need.cores * tasks;
+    sum.cards += job.spec.need.cards * tasks;
+    return sum.cores <= share.cores && sum.cards <= share.cards;
+}
+
+/// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
+bool Owner::hopeless(const Job& job) const {
+    const JobSpec& s = job.spec;
+    return std::any_of(no_room_.begin(), no_room_.end(), [&](const NoRoom& n) {
+        return n.spot == s.spot && n.zone == s.zone && n.types == s.types && n.need.fits(s.need);
+    });
+}
+
+void Owner::remember_no_room(const Job& job) {
+    const JobSpec& s = job.spec;
+    // Only where the rest of its constraints have not played a part.
+    if (s.spread || s.one_zone || hopeless(job)) return;
+    no_room_.push_back({s.spot, s.zone, s.types, s.need});
 }
 
-std::vector<Candidate> Owner::candidates_for(const Job& job, std::vector<Machine*>& machines) {
+/// The machines that a job may use and that have room for a task of it; those that only other controllers
+/// reach are asked separately.
+std::vector<Candidate> Owner::candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines) {
     std::vector<Candidate> list;
     for (auto& [name, m] : machines_) {
-        if (!usable(*m) || !allowed(job, *m)) continue;
+        if (m->relayed != relayed || !usable(*m) || !allowed(job, *m)) continue;
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
@@ -60,7 +80,7 @@
     auto pass = [&](bool image, bool spot) {
         std::vector<Candidate> part;
         for (const auto& c : open)
-            if ((!image || c.has_image) && (!spot || machines[c.index]->block.spot)) part.push_back(c);
+            if ((!image || c.has_image) && (!spot || machines[c.index]->spot)) part.push_back(c);
         return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
     };
     std::ptrdiff_t chosen = -1;
@@ -79,17 +99,27 @@
     std::sort(order.begin(), order.end(), [](const Job* a, const Job* b) {
         return std::pair(a->submitted_ms, a->spec.ref) < std::pair(b->submitted_ms, b->spec.ref);
     });
-    std::map<std::string, Resources> sums;
+    // The domain's part of a guarantee is as large as its part of the limit.
+    std::map<std::string, Resources> sums, guarantees;
+    for (const auto& team : context_.settings().teams) {
+        const Resources share = context_.share(domain_, team.name);
+        auto part = [](Milli guarantee, Milli of, Milli limit) {
+            return limit > 0 ? static_cast<Milli>(static_cast<double>(guarantee) * static_cast<double>(of) /
+                                                  static_cast<double>(limit))
+                             : 0;
+        };
+        guarantees[team.name] = {part(team.guarantee.cores, share.cores, team.limit.cores),
+                                 part(team.guarantee.cards, share.cards, team.limit.cards), 0};
+    }
     for (Job* job : order) {
         auto& sum = sums[job->spec.team];
         const int left = job->spec.tasks - job->done;
         sum.cores += job->spec.need.cores * left;
         sum.cards += job->spec.need.cards * left;
         job->within_guarantee = false;
-        for (const auto& team : context_.settings().teams)
-            if (team.name == job->spec.team)
-                job->within_guarantee =
-                    sum.cores <= team.guarantee.cores && sum.cards <= team.guarantee.cards;
+        auto part = guarantees.find(job->spec.team);
+        job->within_guarantee =
+            part != guarantees.end() && sum.cores <= part->second.cores && sum.cards <= part->second.cards;
     }
     std::erase_if(order, [](const Job* j) { return j->idle == 0; });
     // Highest rank first, then what is guaranteed, then the nearest deadline.
@@ -111,22 +141,31 @@
                std::tuple(b.second->spec.rank, !b.second->within_guarantee, due(b.second), b.first);
     });
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].second;
+    no_room_.clear();
+    short_of_share_.clear();
     for (Job* job : order) {
         if (plan_job(*job)) continue;
-        if (now - job->waiting_since > 200 * kMillisecond) preempt(*job);
+        if (now - job->waiting_since > 200 * kMillisecond && now - job->preempted_at > kPreemptEvery) {
+            job->preempted_at = now;
+            preempt(*job);
+        }
     }
 }
 
 /// True if nothing is left to place.
 bool Owner::plan_job(Job& job) {
     const Micros now = context_.host().now();
+    if (job.spec.kind != JobKind::Gang && hopeless(job)) return false;
     std::vector<Machine*> machines;
-    std::vector<Candidate> candidates = candidates_for(job, machines);
+    std::vector<Candidate> candidates = candidates_for(job, false, machines);
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
 
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
+    // All tasks bound in one pass share an attempt number; it only tells one start from another.
+    const std::int64_t attempt = job.next_attempt;
     bool all = true;
+    bool tried_relayed = false;
     for (std::size_t i = 0; i < job.slots.size(); ++i) {
         Slot& slot = job.slots[i];
         if (slot.state != SlotState::Idle) continue;
@@ -134,35 +173,54 @@
             all = all && slot.retry_at > now;
             continue;
         }
-        if (!quota_allows(job, 1)) return true;  // not for want of room
-        std::vector<Candidate> open;
-        for (const auto& c : candidates) {
-            const std::string& zone = machines[c.index]->block.zone;
-            auto used = per_zone.find(zone);
-            const int there = used == per_zone.end() ? 0 : used->second;
-            if (there >= zone_cap) continue;
-            if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
-            open.push_back(c);
-            // Replicas are kept apart beyond what the job asks for.
-            if (job.spec.kind == JobKind::Service) open.back().penalty = 25.0 * there;
+        if (!quota_allows(job, 1)) {  // not for want of room
+            auto& missing = short_of_share_[job.spec.team];
+            missing.cores += job.spec.need.cores * job.idle;
+            missing.cards += job.spec.need.cards * job.idle;
+            return true;
+        }
+        std::ptrdiff_t chosen = -1;
+        for (;;) {
+            std::vector<Candidate> open;
+            for (const auto& c : candidates) {
+                const std::string& zone = machines[c.index]->zone;
+                auto used = per_zone.find(zone);
+                const int there = used == per_zone.end() ? 0 : used->second;
+                if (there >= zone_cap) continue;
+                if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
+                open.push_back(c);
+                // Replicas are kept apart beyond what the job asks for.
+                if (job.spec.kind == JobKind::Service) open.back().penalty = 25.0 * there;
+            }
+            chosen = place_for(job, open, machines);
+            if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
+            // Better a machine that only others reach than none.
+            auto more = candidates_for(job, true, machines);
+            if (more.empty()) break;
+            candidates.insert(candidates.end(), more.begin(), more.end());
+        }
+        if (chosen < 0) {
+            remember_no_room(job);
+            return false;
         }
-        const auto chosen = place_for(job, open, machines);
-        if (chosen < 0) return false;
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
-        bind(job, static_cast<int>(i), m, job.next_attempt++);
-        job.parts[i / kPartTasks].dirty = true;
-        dirty_.insert(job.spec.ref);
-        ++per_zone[m.block.zone];
+        // A part must not outgrow its value.
+        if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) return true;
+        bind(job, static_cast<int>(i), m, attempt);
+        job.next_attempt = attempt + 1;
+        touch(job, i / job.part_tasks);
+        ++per_zone[m.zone];
         auto& c = candidates[static_cast<std::size_t>(chosen)];
         c.booked += job.spec.need;
         ++c.tasks;
-        spdlog::info("task {}/{}: attempt {} bound to {}", job.spec.ref, i, slot.attempt, m.block.machine);
+        spdlog::info("task {}/{}: attempt {} bound to {}", job.spec.ref, i, slot.attempt, m.name);
     }
     return all;
 }
 
 /// A gang binds all its tasks in one pass or none.
-bool Owner::plan_gang(Job& job, std::vector<Candidate>& candidates, std::vector<Machine*>& machines) {
+bool Owner::plan_gang(Job& job, const std::vector<Candidate>& candidates,
+                      const std::vector<Machine*>& machines) {
     const Micros now = context_.host().now();
     if (job.bound > 0 || job.idle < job.spec.tasks - job.done)
         return true;  // the old attempt is not gone yet
@@ -170,13 +228,17 @@
         if (job.slots[i].state == SlotState::Idle &&
             (job.slots[i].retry_at > now || stray_tasks_.count({job.spec.ref, static_cast<int>(i)})))
             return true;
-    if (!quota_allows(job, job.idle)) return true;
+    if (!quota_allows(job, job.idle)) {
+        auto& missing = short_of_share_[job.spec.team];
+        missing.cores += job.spec.need.cores * job.idle;
+        missing.cards += job.spec.need.cards * job.idle;
+        return true;
+    }
     std::vector<std::string> zones{""};
     if (job.spec.one_zone) {
         zones.clear();
         for (const auto* m : machines)
-            if (std::find(zones.begin(), zones.end(), m->block.zone) == zones.end())
-                zones.push_back(m->block.zone);
+            if (std::find(zones.begin(), zones.end(), m->zone) == zones.end()) zones.push_back(m->zone);
         std::shuffle(zones.begin(), zones.end(), context_.host().random());
     }
     const int zone_cap = job.zone_cap();
@@ -188,7 +250,7 @@
             if (job.slots[i].state != SlotState::Idle) continue;
             std::vector<Candidate> open;
             for (const auto& c : trial) {
-                const std::string& at = machines[c.index]->block.zone;
+                const std::string& at = machines[c.index]->zone;
                 if ((zone.empty() || at == zone) && per_zone[at] < zone_cap) open.push_back(c);
             }
             const auto pick =
@@ -198,16 +260,15 @@
             c.booked += job.spec.need;
             ++c.tasks;
             Machine* m = machines[static_cast<std::size_t>(pick)];
-            ++per_zone[m->block.zone];
+            ++per_zone[m->zone];
             chosen.emplace_back(static_cast<int>(i), m);
         }
         if (static_cast<int>(chosen.size()) < job.idle) continue;
         const std::int64_t attempt = job.next_attempt++;
         for (const auto& [task, m] : chosen) {
             bind(job, task, *m, attempt);
-            job.parts[static_cast<std::size_t>(task) / kPartTasks].dirty = true;
+            touch(job, static_cast<std::size_t>(task) / job.part_tasks);
         }
-        dirty_.insert(job.spec.ref);
         spdlog::info("gang {}: attempt {} bound, {} tasks", job.spec.ref, attempt, chosen.size());
         return true;
     }
@@ -239,13 +300,13 @@
     for (auto& [name, owned] : machines_) {
         Machine& m = *owned;
         if (!usable(m) || !allowed(job, m)) continue;
-        auto used = per_zone.find(m.block.zone);
+        auto used = per_zone.find(m.zone);
         const int there = used == per_zone.end() ? 0 : used->second;
         if (there >= zone_cap || (job.spec.one_zone && !per_zone.empty() && there == 0)) continue;
         Resources room = m.type->size - m.booked;
         std::vector<Victim> victims;
-        for (const auto& [ref, task] : m.tasks) {
-            Job& other = *jobs_.at(ref);
+        for (const auto& [owner_of, task] : m.tasks) {
+            Job& other = *owner_of;
             Slot& slot = other.slots[static_cast<std::size_t>(task)];
             if (slot.state != SlotState::Bound) continue;
             if (slot.stop) {
--- /dev/null
+++ b/src/core/records.cpp
@@ -0,0 +1,81 @@
+#include "core/records.hpp"
+
+#include <algorithm>
+
+namespace cottonway {
+
+Block::Machine* Block::find(const std::string& name) {
+    auto it =
+        std::find_if(machines.begin(), machines.end(), [&](const Machine& m) { return m.name == name; });
+    return it == machines.end() ? nullptr : &*it;
+}
+
+Value Block::value() const {
+    Value list = Value::array();
+    for (const auto& m : machines) {
+        // The most common token is left out: that of the commit that created the record (`tok`).
+        Value entry = Value::array({m.name, m.addr});
+        if (m.retired || m.raise || m.token != machines.front().token) {
+            entry.push_back(m.retired ? 1U : 0U);
+            entry.push_back(m.raise ? Revision{0} : m.token);
+        }
+        list.push_back(std::move(entry));
+    }
+    Value v{{"dom", domain}, {"type", type}, {"zone", zone}, {"m", std::move(list)}};
+    if (spot) v["spot"] = true;
+    v["tok"] = machines.empty() ? 0 : machines.front().token;
+    return v;
+}
+
+std::optional<Block> Block::parse(const std::string& id, const Value& v, Revision mark) {
+    Block b;
+    auto dom = wire::text(v, "dom"), type = wire::text(v, "type"), zone = wire::text(v, "zone");
+    if (!dom || !type || !zone) return std::nullopt;
+    b.id = id;
+    b.domain = *dom;
+    b.type = *type;
+    b.zone = *zone;
+    b.spot = wire::flag(v, "spot").value_or(false);
+    b.mark = mark;
+    auto token_of = [mark](Revision stored) { return stored == 0 ? mark : stored; };
+    const Value* list = wire::find(v, "m");
+    if (!list) {
+        auto addr = wire::text(v, "addr");
+        if (!addr) return std::nullopt;
+        b.machines.push_back({id, *addr, mark, wire::flag(v, "retired").value_or(false), false});
+        return b;
+    }
+    if (!list->is_array()) return std::nullopt;
+    const Revision common = token_of(wire::count(v, "tok").value_or(0));
+    for (const auto& e : *list) {
+        if (!e.is_array() || e.size() < 2 || !e[0].is_string() || !e[1].is_string()) return std::nullopt;
+        Machine m{e[0].get<std::string>(), e[1].get<std::string>(), common, false, false};
+        if (e.size() >= 4) {
+            if (!e[2].is_number_unsigned() || !e[3].is_number_unsigned()) return std::nullopt;
+            m.retired = e[2].get<unsigned>() != 0;
+            m.token = token_of(e[3].get<Revision>());
+        }
+        b.machines.push_back(std::move(m));
+    }
+    return b;
+}
+
+Value shares_value(const Shares& shares) {
+    Value v = Value::object();
+    for (const auto& [team, r] : shares) v[team] = Value::array({r.cores, r.cards});
+    return v;
+}
+
+Shares parse_shares(const Value& v) {
+    Shares out;
+    if (!v.is_object()) return out;
+    for (const auto& [team, r] : v.items()) {
+        // What does not parse grants nothing.
+        if (!r.is_array() || r.size() != 2 || !r[0].is_number_integer() || !r[1].is_number_integer())
+            continue;
+        out[team] = {std::max<Milli>(r[0].get<Milli>(), 0), std::max<Milli>(r[1].get<Milli>(), 0), 0};
+    }
+    return out;
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/records.hpp
@@ -0,0 +1,56 @@
+#pragma once
+// What stands in the state service: keys, and the records of blocks and shares.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/store.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+namespace keys {
+inline const std::string root = "c/";
+inline const std::string leader = "c/leader";
+inline const std::string live = "c/live/";
+inline const std::string domain = "c/domain/";
+inline const std::string share = "c/share/";
+inline const std::string block = "c/block/";
+inline const std::string job = "c/job/";
+inline const std::string part = "c/part/";
+}  // namespace keys
+
+/// Machines of one type, zone and kind that are leased together: one record, one change for all of them.
+struct Block {
+    struct Machine {
+        std::string name;
+        std::string addr;
+        /// Token of this machine alone, 0: the record's own mark as soon as it is committed. Kept apart from
+        /// the record's mark, so that rewriting the record does not disturb the machines it is not about.
+        Revision token = 0;
+        bool retired = false;
+        /// Raised by the next commit of this record.
+        bool raise = false;
+    };
+    std::string id;
+    std::string domain;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::vector<Machine> machines;
+    Revision mark = 0;
+
+    Machine* find(const std::string& name);
+    Value value() const;
+    /// Also reads the previous version's record of a single machine.
+    static std::optional<Block> parse(const std::string& id, const Value& v, Revision mark);
+};
+
+/// A domain's part of every team's limit.
+using Shares = std::map<std::string, Resources>;
+Value shares_value(const Shares& shares);
+Shares parse_shares(const Value& v);
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/users.cpp
@@ -0,0 +1,295 @@
+// What users ask of a controller: submissions, polls, cancellations.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/controller.hpp"
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+
+constexpr std::size_t kMaxViews = 20'000;
+constexpr int kMaxAbortTries = 8;
+
+std::string_view stage_name(const JobView& v) {
+    switch (v.stage) {
+        case Stage::Done:
+            return "done";
+        case Stage::Cancelled:
+            return "cancelled";
+        case Stage::Queued:
+            break;
+    }
+    return v.running > 0 ? "running" : "pending";
+}
+
+bool starts_with(const std::string& s, const std::string& prefix) {
+    return s.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+ApiResponse Controller::unavailable(int retry_after) {
+    return {503, Value::object(), retry_after};
+}
+
+void Controller::handle(ApiRequest request, ApiResponder respond) {
+    if (request.too_large) return respond({413, Value::object()});
+    const std::string path = request.path.substr(0, request.path.find('?'));
+    const bool get = request.method == "GET", post = request.method == "POST";
+    auto wrong_method = [&] { respond({405, Value::object()}); };
+    auto body = [&]() { return wire::decode(request.body); };
+    if (path == "/healthz") {
+        if (!get) return wrong_method();
+        const bool ready = loaded_ && !types_.empty() && host_.now() - store_.last_contact() < 10 * kSecond;
+        return respond({ready ? 200 : 503, Value::object()});
+    }
+    if (path == "/v1/report") {
+        if (!post) return wrong_method();
+        return report(request.body, std::move(respond));
+    }
+    static const std::string jobs = "/v1/jobs";
+    if (path == jobs) {
+        if (!post) return wrong_method();
+        auto v = body();
+        return v ? submit(*v, std::move(respond)) : respond({400, Value::object()});
+    }
+    if (starts_with(path, jobs + "/")) {
+        std::string ref = path.substr(jobs.size() + 1);
+        static const std::string abort_end = "/abort";
+        const bool aborting = ref.size() > abort_end.size() &&
+                              ref.compare(ref.size() - abort_end.size(), abort_end.size(), abort_end) == 0;
+        if (aborting) ref.resize(ref.size() - abort_end.size());
+        if (ref.find('/') == std::string::npos) {
+            if (aborting ? !post : !get) return wrong_method();
+            if (!wire::valid_ref(ref)) return respond({404, Value::object()});
+            return aborting ? abort(ref, 0, std::move(respond)) : poll(ref, std::move(respond));
+        }
+    }
+    respond({404, Value::object()});
+}
+
+Controller::Verdict Controller::judge(const JobSpec& s) const {
+    const Team* team = nullptr;
+    for (const auto& t : settings_.teams)
+        if (t.name == s.team) team = &t;
+    if (!team) return Verdict::Never;
+    const Milli at_once = s.kind == JobKind::Array ? 1 : s.tasks;
+    if (s.need.cores * at_once > team->limit.cores || s.need.cards * at_once > team->limit.cards)
+        return Verdict::Never;
+    if (types_.empty()) return Verdict::NotYet;
+    for (const auto& t : types_) {
+        if (s.types && std::find(s.types->begin(), s.types->end(), t.name) == s.types->end()) continue;
+        if (s.zone && std::find(t.zones.begin(), t.zones.end(), *s.zone) == t.zones.end()) continue;
+        if (s.need.fits(t.size)) return Verdict::Fits;
+    }
+    return Verdict::Never;
+}
+
+void Controller::submit(const Value& body, ApiResponder respond) {
+    auto parsed = wire::parse_job(body);
+    const Verdict verdict = parsed.spec ? judge(*parsed.spec) : Verdict::Never;
+    if (verdict == Verdict::Fits && !known(parsed.spec->ref))
+        return create(std::move(*parsed.spec), std::move(respond));
+    const auto ref = wire::ref_of(body);
+    if (!ref) return respond({400, Value{{"error", parsed.error}}});
+    // Whatever the request looks like, a job that is known is answered with its state.
+    check(*ref, [this, ref = *ref, parsed, verdict, respond = std::move(respond)](
+                    bool ok, const std::optional<JobView>& view) mutable {
+        if (!ok) return respond(unavailable());
+        if (view) return respond({200, wire::job_answer(ref, stage_name(*view))});
+        if (!parsed.spec) return respond({400, Value{{"error", parsed.error}}});
+        if (verdict == Verdict::Never) return respond({422, Value{{"error", "can never run"}}});
+        if (verdict == Verdict::NotYet) return respond(unavailable(2));
+        create(std::move(*parsed.spec), std::move(respond));
+    });
+}
+
+void Controller::create(JobSpec spec, ApiResponder respond) {
+    if (!store_.reachable()) return respond(unavailable());
+    // Names of types that don't exist would only fill the record.
+    if (spec.types) std::erase_if(*spec.types, [&](const std::string& t) { return !machine_type(t); });
+    const std::string ref = spec.ref;
+    const std::string domain = domain_for(spec);
+    if (domain.empty()) return respond(unavailable());
+    const std::string what =
+        spec.job_class + ", " + std::to_string(spec.tasks) + " tasks for " + spec.team + ", in " + domain;
+    Value record{{"s", "queued"},
+                 {"dom", domain},
+                 {"k", spec.tasks},
+                 {"d", wire::job_value(spec)},
+                 {"at", host_.wall_ms()}};
+    record["ps"] = part_tasks_for(settings_.value_bytes,
+                                  record.dump(-1, ' ', false, Value::error_handler_t::replace).size());
+    if (record.dump(-1, ' ', false, Value::error_handler_t::replace).size() > settings_.value_bytes * 3 / 4)
+        return respond({400, Value{{"error", "too long"}}});
+    Change change;
+    change.when.push_back({keys::job + ref, 0});
+    change.then.push_back({keys::job + ref, record});
+    change.priority = Priority::Urgent;
+    change.purpose = "admit";
+    store_.commit(std::move(change), [this, ref, record, what,
+                                      respond = std::move(respond)](const CommitResult& r) mutable {
+        switch (r.status) {
+            case CommitStatus::Ok:
+                apply(keys::job + ref, &record, r.revision);
+                spdlog::info("job {}: accepted: {}", ref, what);
+                return respond({201, wire::job_answer(ref, "pending")});
+            case CommitStatus::Conflict:
+            case CommitStatus::Unknown:
+                return recheck(ref, 0, [ref, respond](bool ok, const std::optional<JobView>& view) {
+                    if (!ok || !view) return respond(unavailable());
+                    respond({200, wire::job_answer(ref, stage_name(*view))});
+                });
+            case CommitStatus::Unavailable:
+            case CommitStatus::Rejected:
+                return respond(unavailable());
+        }
+    });
+}
+
+void Controller::poll(const std::string& ref, ApiResponder respond) {
+    check(ref, [ref, respond = std::move(respond)](bool ok, const std::optional<JobView>& view) {
+        if (!ok) return respond(unavailable());
+        if (!view) return respond({404, Value::object()});
+        respond({200, wire::job_state(ref, stage_name(*view), view->done, view->running)});
+    });
+}
+
+void Controller::abort(const std::string& ref, int tries, ApiResponder respond) {
+    if (const JobView* v = known(ref); v && v->final())
+        return respond({200, wire::job_answer(ref, stage_name(*v))});
+    if (tries >= kMaxAbortTries || out_of_reach()) return respond(unavailable());
+    if (auto live = live_jobs_.find(ref); tries == 0 && live != live_jobs_.end())
+        return cancel(ref, live->second.record, live->second.mark, tries, std::move(respond));
+    store_.read(keys::job + ref,
+                [this, ref, tries, respond = std::move(respond)](const ReadResult& r) mutable {
+                    if (!r.ok) return respond(unavailable());
+                    if (!r.found) return respond({404, Value::object()});
+                    const JobView view = JobView::of(r.value, r.mark);
+                    if (view.final()) {
+                        apply(keys::job + ref, &r.value, r.mark);
+                        return respond({200, wire::job_answer(ref, stage_name(view))});
+                    }
+                    cancel(ref, r.value, r.mark, tries, std::move(respond));
+                });
+}
+
+/// A commit on the job's record, so it competes with binds there; whoever loses sees the other.
+void Controller::cancel(const std::string& ref, Value record, Revision mark, int tries,
+                        ApiResponder respond) {
+    record["s"] = "cancelled";
+    Change change;
+    change.when.push_back({keys::job + ref, mark});
+    change.then.push_back({keys::job + ref, record});
+    change.priority = Priority::Urgent;
+    change.purpose = "cancel";
+    store_.commit(std::move(change), [this, ref, tries, record = std::move(record),
+                                      respond = std::move(respond)](const CommitResult& result) mutable {
+        if (result.status == CommitStatus::Ok) {
+            spdlog::info("job {}: cancelled by its user", ref);
+            apply(keys::job + ref, &record, result.revision);
+            return respond({200, wire::job_answer(ref, "cancelled")});
+        }
+        if (result.status == CommitStatus::Conflict || result.status == CommitStatus::Unknown)
+            return abort(ref, tries + 1, std::move(respond));
+        respond(unavailable());
+    });
+}
+
+/// Known to be out of reach: users are told at once.
+bool Controller::out_of_reach() const {
+    return !store_.reachable() && host_.now() - store_.last_contact() > kSecond;
+}
+
+void Controller::check(const std::string& ref, std::function<void(bool, std::optional<JobView>)> done) {
+    const JobView* view = known(ref);
+    if (view && view->final()) return done(true, *view);
+    if (out_of_reach()) return done(false, std::nullopt);
+    if (view) {
+        // The next look at the store proves that what is known then is current.
+        after_sync([this, ref, done = std::move(done)](bool ok) {
+            const JobView* now = known(ref);
+            if (!ok || !now) return done(false, std::nullopt);
+            done(true, *now);
+        });
+        return;
+    }
+    Change compare;
+    compare.when.push_back({keys::job + ref, 0});
+    store_.commit(std::move(compare), [this, ref, done = std::move(done)](const CommitResult& r) mutable {
+        if (r.status == CommitStatus::Ok) return done(true, std::nullopt);
+        if (r.status == CommitStatus::Conflict) return recheck(ref, 0, std::move(done));
+        done(false, std::nullopt);
+    });
+}
+
+void Controller::recheck(const std::string& ref, int tries,
+                         std::function<void(bool, std::optional<JobView>)> done) {
+    store_.read(keys::job + ref, [this, ref, tries, done = std::move(done)](const ReadResult& r) mutable {
+        if (!r.ok) {
+            if (tries < 1 && store_.reachable()) return recheck(ref, tries + 1, std::move(done));
+            return done(false, std::nullopt);
+        }
+        if (!r.found) return done(true, std::nullopt);
+        const JobView view = JobView::of(r.value, r.mark);
+        const JobView* old = known(ref);
+        if (!old || old->mark < r.mark) remember(ref, view);
+        done(true, view);
+    });
+}
+
+void Controller::remember(const std::string& ref, const JobView& view) {
+    auto it = views_.find(ref);
+    if (it != views_.end()) {
+        it->second.first = view;
+        recent_.splice(recent_.begin(), recent_, it->second.second);
+        return;
+    }
+    recent_.push_front(ref);
+    views_.emplace(ref, std::pair(view, recent_.begin()));
+    if (views_.size() > kMaxViews) {
+        views_.erase(recent_.back());
+        recent_.pop_back();
+    }
+}
+
+const JobView* Controller::known(const std::string& ref) const {
+    auto it = views_.find(ref);
+    return it == views_.end() ? nullptr : &it->second.first;
+}
+
+/// The owner of a new job: a domain of ours if it has room for all of it, else the one with the most room
+/// left after what waits there already.
+std::string Controller::domain_for(const JobSpec& spec) const {
+    const Milli need = spec.need.cores * spec.tasks;
+    std::string best;
+    double best_room = 0;
+    bool best_ours = false;
+    for (const auto& [name, d] : domains_) {
+        const bool ours = d.holder == settings_.node;
+        if (!live_.count(d.holder)) continue;
+        const Milli capacity = capacity_of(name);
+        if (capacity == 0 && !best.empty()) continue;
+        Milli room = 0;
+        if (const Owner* o = owner(name); o && o->active()) {
+            const auto load = o->load();
+            room = load.free_ordinary + (spec.spot ? load.free_spot : 0) - load.waiting;
+        } else if (const auto* load = load_of(name)) {
+            room = load->free_ordinary + (spec.spot ? load->free_spot : 0) - load->waiting;
+        }
+        if (ours && capacity > 0 && room >= need) return name;
+        const double share = capacity > 0 ? static_cast<double>(room) / static_cast<double>(capacity) : -1e9;
+        // A domain of ours is heard of at once; elsewhere it takes a moment.
+        const bool better = best.empty() || share > best_room + (best_ours ? 0.05 : 0.0);
+        if (!better) continue;
+        best = name;
+        best_room = share;
+        best_ours = ours;
+    }
+    return best;
+}
+
+}  // namespace cottonway
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,13 +11,18 @@
 
 namespace {
 constexpr std::size_t kMaxBody = 8 * 1024 * 1024;
-}
+constexpr Micros kConnectTime = kSecond;
+}  // namespace
 
 /// One connection and at most one call on it. A call that is not answered in time closes it.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
   public:
     ClientConnection(HttpClient& client, std::string key)
-        : client_(client), key_(std::move(key)), socket_(client.io_), timer_(client.io_) {}
+        : client_(client),
+          key_(std::move(key)),
+          socket_(client.io_),
+          timer_(client.io_),
+          connect_timer_(client.io_) {}
 
     void start(const Endpoint& to, std::string request, Micros timeout, HttpClient::Done done) {
         out_ = std::move(request);
@@ -32,10 +37,19 @@
             if (!ec && g == self->generation_) self->finish(false);
         });
         if (socket_.is_open()) return write();
+        connected_ = false;
+        // A connection that does not come about in time is given up early: what has not been sent can be sent
+        // elsewhere.
+        connect_timer_.expires_after(std::chrono::microseconds(std::min(timeout, kConnectTime)));
+        connect_timer_.async_wait([self = shared_from_this(), g = generation_](asio::error_code ec) {
+            if (!ec && g == self->generation_ && !self->connected_) self->finish(false);
+        });
         socket_.async_connect(tcp::endpoint(asio::ip::make_address_v4(to.host), to.port),
                               [self = shared_from_this()](asio::error_code ec) {
                                   if (!self->done_) return;
                                   if (ec) return self->finish(false);
+                                  self->connected_ = true;
+                                  self->connect_timer_.cancel();
                                   asio::error_code ignored;
                                   self->socket_.set_option(tcp::no_delay(true), ignored);
                                   self->write();
@@ -103,12 +117,14 @@
         auto done = std::exchange(done_, nullptr);
         if (!done) return;
         timer_.cancel();
+        connect_timer_.cancel();
         bool reusable = false;
         if (answered) {
             reply_.status = static_cast<int>(parser_.status_code);
-            reusable = http_should_keep_alive(&parser_) != 0;
+            reusable = client_.keep_ && http_should_keep_alive(&parser_) != 0;
         } else {
             reply_ = ClientReply{};
+            reply_.status = connected_ ? kNoAnswer : kNotSent;
         }
         if (!reusable) close();
         client_.release(key_, shared_from_this(), reusable);
@@ -119,12 +135,14 @@
     std::string key_;
     tcp::socket socket_;
     asio::steady_timer timer_;
+    asio::steady_timer connect_timer_;
     http_parser parser_{};
     std::array<char, 8192> buffer_{};
     std::string out_;
     ClientReply reply_;
     HttpClient::Done done_;
     bool complete_ = false;
+    bool connected_ = false;
     std::uint64_t generation_ = 0;
 };
 
@@ -134,7 +152,7 @@
     std::string request =
         method + " " + path + " HTTP/1.1\r\nHost: " + key +
         "\r\nContent-Type: application/msgpack\r\nContent-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body;
+        (keep_ ? "" : "\r\nConnection: close") + "\r\n\r\n" + body;
     auto& pool = pools_[key];
     std::shared_ptr<ClientConnection> connection;
     while (!pool.idle.empty() && !connection) {
@@ -157,7 +175,7 @@
     }
     if (!connection) {
         if (pool.busy >= per_address_ || open_ >= total_) {
-            asio::post(io_, [done = std::move(done)] { done(ClientReply{}); });
+            asio::post(io_, [done = std::move(done)] { done(ClientReply{kNotSent, {}}); });
             return;
         }
         connection = std::make_shared<ClientConnection>(*this, key);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -9,13 +9,14 @@
 #include <string>
 #include <vector>
 
+#include "core/host.hpp"
 #include "settings/settings.hpp"
 #include "wire/units.hpp"
 
 namespace cottonway::net {
 
 struct ClientReply {
-    int status = 0;  // 0: no answer
+    int status = 0;  // of HTTP, or kNoAnswer or kNotSent
     std::string body;
 };
 
@@ -25,8 +26,9 @@
   public:
     using Done = std::function<void(ClientReply)>;
 
-    HttpClient(asio::io_context& io, std::size_t per_address, std::size_t total)
-        : io_(io), per_address_(per_address), total_(total) {}
+    /// Without `keep`, every call has a connection of its own: if none comes about, nothing was sent.
+    HttpClient(asio::io_context& io, std::size_t per_address, std::size_t total, bool keep = true)
+        : io_(io), per_address_(per_address), total_(total), keep_(keep) {}
 
     void call(const Endpoint& to, const std::string& method, const std::string& path, const std::string& body,
               Micros timeout, Done done);
@@ -43,6 +45,7 @@
     asio::io_context& io_;
     std::size_t per_address_;
     std::size_t total_;
+    bool keep_;
     std::size_t open_ = 0;
     std::map<std::string, Pool> pools_;
 };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kStateConnections = 24;
 constexpr std::size_t kCloudConnections = 6;
 constexpr std::size_t kWorkerConnections = 2;
+constexpr std::size_t kPeerConnections = 12;
 }  // namespace
 
 AsioHost::AsioHost(asio::io_context& io, const Settings& settings)
@@ -19,7 +20,8 @@
       settings_(settings),
       state_(io, kStateConnections, kStateConnections),
       cloud_(io, kCloudConnections, kCloudConnections),
-      workers_(io, kWorkerConnections, settings.sockets / 4),
+      workers_(io, kWorkerConnections, settings.sockets / 8, false),
+      peers_(io, kPeerConnections, settings.sockets / 16),
       random_(std::random_device{}()) {}
 
 Micros AsioHost::now() {
@@ -55,25 +57,30 @@
     HttpClient* client = &state_;
     Endpoint to = settings_.state;
     const char* name = "state";
+    const bool peer = call.target == Target::Peer;
     if (call.target == Target::Cloud) {
         client = &cloud_;
         to = settings_.cloud;
         name = "cloud";
-    } else if (call.target == Target::Worker) {
-        client = &workers_;
-        name = "worker";
+    } else if (call.target == Target::Worker || peer) {
+        client = peer ? &peers_ : &workers_;
+        name = peer ? "peer" : "worker";
         try {
             to = parse_endpoint(call.addr);
         } catch (const std::invalid_argument&) {
-            return enqueue([done = std::move(done)] { done(Reply{}); });
+            return enqueue([done = std::move(done)] { done(Reply{kNotSent, {}}); });
         }
     }
-    const std::string body = call.body.is_null() ? std::string() : wire::encode(call.body);
+    const std::string body = peer                  ? std::move(call.bytes)
+                             : call.body.is_null() ? std::string()
+                                                   : wire::encode(call.body);
     const Micros sent = now();
     client->call(to, call.method, call.path, body, call.timeout,
-                 [this, name, sent, path = call.path, done = std::move(done)](ClientReply r) {
+                 [this, name, sent, peer, path = call.path, done = std::move(done)](ClientReply r) {
                      Reply reply{r.status, {}};
-                     if (!r.body.empty()) {
+                     if (peer) {
+                         reply.bytes = std::move(r.body);
+                     } else if (!r.body.empty()) {
                          auto value = wire::decode(r.body);
                          if (value) {
                              reply.body = std::move(*value);
@@ -93,7 +100,8 @@
     Controller controller(host, settings);
 
     HttpServer::Limits limits;
-    limits.connections = settings.sockets / 2;
+    // One controller may have to carry all workers and users after the others have ended.
+    limits.connections = settings.sockets * 3 / 4;
     HttpServer clients(io, settings.client_listen, limits, [&](Request request, Responder respond) {
         const Micros start = host.now();
         std::string name = request.path == "/v1/report" ? "report"
@@ -110,7 +118,18 @@
     });
     HttpServer::Limits cluster_limits;
     cluster_limits.connections = settings.sockets / 16;
+    cluster_limits.body = 128 * 1024;
     HttpServer cluster(io, settings.cluster_listen, cluster_limits, [&](Request request, Responder respond) {
+        if (request.path == "/peer") {
+            if (request.method != "POST") return respond({405, "", "text/plain", 0});
+            if (request.too_large) return respond({413, "", "text/plain", 0});
+            return host.enqueue([&, body = std::move(request.body), respond = std::move(respond)] {
+                controller.handle_peer(body, [respond](std::string answer) {
+                    const int status = answer.empty() ? 400 : 200;
+                    respond({status, std::move(answer), "application/octet-stream", 0});
+                });
+            });
+        }
         if (request.path != "/status") return respond({404, "", "text/plain", 0});
         if (request.method != "GET") return respond({405, "", "text/plain", 0});
         Value v = controller.status();
--- a/src/net/service.hpp
+++ b/src/net/service.hpp
@@ -33,6 +33,7 @@
     HttpClient state_;
     HttpClient cloud_;
     HttpClient workers_;
+    HttpClient peers_;
     std::mt19937_64 random_;
     std::deque<std::function<void()>> commands_;
     bool draining_ = false;
--- /dev/null
+++ b/src/peer/messages.hpp
@@ -0,0 +1,147 @@
+#pragma once
+// What controllers tell each other: packed structs, little-endian, with fixed sizes, a version and checked
+// bounds. A message that does not parse is no message. Nothing here decides anything that the state service
+// must decide: these are hints, requests and promises, and all of them may get lost.
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/units.hpp"
+
+namespace cottonway::peer {
+
+constexpr std::uint16_t kVersion = 1;
+constexpr std::size_t kNameSize = 48;
+constexpr std::size_t kMaxDomains = 32;
+constexpr std::size_t kMaxTeams = 32;
+constexpr std::size_t kMaxMachines = 1000;
+constexpr std::size_t kMaxReport = 64 * 1024;
+
+enum class Kind : std::uint16_t {
+    State = 1,      // how things are here; answered with a State
+    Renounce = 2,   // promise not to renew the leases of these machines; answered with Renounced
+    Renounced = 3,  // for each machine, how long ago its lease was renewed from here at the latest
+    Want = 4,       // machines for waiting tasks; answered with Granted
+    Share = 5,      // part of a team's limit; answered with Granted
+    Granted = 6,
+    Relay = 7,    // a worker's report, passed on; answered with Relayed
+    Relayed = 8,  // the answer to pass back
+};
+
+/// A team within a domain.
+struct TeamLoad {
+    std::string team;
+    Resources share;
+    Resources used;
+    Resources waiting;
+};
+
+struct DomainLoad {
+    std::string domain;
+    std::uint64_t mark = 0;
+    std::uint32_t machines = 0;
+    std::uint32_t jobs = 0;
+    Milli capacity = 0;       // cores
+    Milli free_ordinary = 0;  // cores on machines that can be bound to
+    Milli free_spot = 0;
+    Milli idle_ordinary = 0;  // cores of machines without any task
+    Milli idle_spot = 0;
+    Milli waiting = 0;  // cores that waiting tasks need
+    std::vector<TeamLoad> teams;
+};
+
+/// The leader's view of the fleet, for the holders that return machines.
+struct FleetBalance {
+    std::uint64_t term = 0;  // 0: not the leader
+    Milli ordinary = 0;
+    Milli total = 0;
+    Milli wanted_ordinary = 0;
+    Milli wanted_total = 0;
+};
+
+struct State {
+    std::string node;
+    FleetBalance balance;
+    std::vector<DomainLoad> domains;
+};
+
+struct Renounce {
+    std::string node;
+    std::string domain;
+    std::uint64_t mark = 0;
+    std::vector<std::string> machines;
+};
+
+struct Renounced {
+    std::vector<Micros> ages;
+};
+
+/// What waits, so that idle machines can be found for it.
+struct Want {
+    std::string domain;
+    std::uint64_t mark = 0;
+    Resources task;  // the largest waiting task
+    Milli cores = 0;
+    bool spot = false;  // may be spot machines
+    std::string type;   // "": any
+    std::string zone;
+};
+
+struct ShareWant {
+    std::string domain;
+    std::uint64_t mark = 0;
+    std::string team;
+    Resources amount;
+};
+
+struct Granted {
+    Resources amount;
+    std::uint32_t machines = 0;
+};
+
+struct Relay {
+    std::string report;
+};
+
+struct Relayed {
+    std::uint16_t status = 0;
+    bool direct = false;  // the holder reaches the worker itself
+    std::string body;
+};
+
+std::optional<Kind> kind_of(std::string_view bytes);
+
+std::string pack(const State& m);
+std::string pack(const Renounce& m);
+std::string pack(const Renounced& m);
+std::string pack(const Want& m);
+std::string pack(const ShareWant& m);
+std::string pack(const Granted& m);
+std::string pack(const Relay& m);
+std::string pack(const Relayed& m);
+
+/// Nothing for what is of another kind or version, cut short, or too long.
+template <class M>
+std::optional<M> unpack(std::string_view bytes);
+template <>
+std::optional<State> unpack(std::string_view bytes);
+template <>
+std::optional<Renounce> unpack(std::string_view bytes);
+template <>
+std::optional<Renounced> unpack(std::string_view bytes);
+template <>
+std::optional<Want> unpack(std::string_view bytes);
+template <>
+std::optional<ShareWant> unpack(std::string_view bytes);
+template <>
+std::optional<Granted> unpack(std::string_view bytes);
+template <>
+std::optional<Relay> unpack(std::string_view bytes);
+template <>
+std::optional<Relayed> unpack(std::string_view bytes);
+
+}  // namespace cottonway::peer
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -173,6 +173,8 @@
     s.cloud_rps = number(t, "deployment.cloud.rps", 0.1, 1e6);
     s.list_lag = duration(t, "deployment.cloud.list_lag_s");
     s.sockets = static_cast<std::size_t>(number(t, "deployment.limits.sockets", 64, 1e6));
+    if (t.at_path("deployment.limits.cpu_share"))
+        s.cpu_share = number(t, "deployment.limits.cpu_share", 0.001, 1024);
     if (!operators_path.empty()) load_operators(operators_path, s.ops);
     return s;
 }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -75,6 +75,7 @@
     double cloud_rps = 4;
     Micros list_lag = 6 * kSecond;
     std::size_t sockets = 1000;
+    double cpu_share = 1;  // of a core
     OperatorSettings ops;
 
     bool has_objective(const std::string& kind) const {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -12,27 +12,83 @@
 constexpr int kMaxInFlight = 3;
 constexpr std::size_t kMaxQueue = 5000;
 constexpr std::size_t kMaxBatchBytes = 48 * 1024;
+constexpr std::size_t kMaxOwn = 200;
 constexpr Micros kGather = 3 * kMillisecond;
+// Share of a second's changes that must be left over for changes of each priority.
+constexpr std::array<double, kPriorities> kReserve{0.0, 0.15, 0.5};
+// A record that is put together must not stand in a queue meanwhile.
+constexpr std::size_t kRoomQueue = 4;
 }  // namespace
 
-Micros RateBudget::take(Micros now, double amount) {
+void RateBudget::refill(Micros now) {
     if (at_ == 0) at_ = now;
     left_ = std::min(burst_, left_ + rate_ * static_cast<double>(now - at_) / 1e6);
     at_ = now;
-    amount = std::min(amount, burst_);
-    if (left_ >= amount) {
+}
+
+Micros RateBudget::take(Micros now, double amount, double reserve) {
+    refill(now);
+    amount = std::min(amount, burst_ - reserve);
+    if (left_ >= amount + reserve) {
         left_ -= amount;
         return 0;
     }
-    return static_cast<Micros>((amount - left_) / rate_ * 1e6) + kMillisecond;
+    return static_cast<Micros>((amount + reserve - left_) / rate_ * 1e6) + kMillisecond;
+}
+
+void RateBudget::drain(Micros now, double amount) {
+    refill(now);
+    left_ = std::max(left_ - amount, -burst_);
+}
+
+double RateBudget::left(Micros now) {
+    refill(now);
+    return left_;
 }
 
+std::size_t Store::Queue::size() const {
+    std::size_t n = 0;
+    for (const auto& q : pending) n += q.size();
+    return n;
+}
+
+std::deque<Store::Pending>* Store::Queue::first() {
+    for (auto& q : pending)
+        if (!q.empty()) return &q;
+    return nullptr;
+}
+
+// Requests are shared out evenly, with half as much again, since not all controllers need theirs at once.
+// What others write is seen in the news, so of the changes each takes what is left.
 Store::Store(Host& host, const Settings& settings)
     : host_(host),
       settings_(settings),
-      requests_(settings.state_rps * 0.9, settings.state_rps * 0.5),
-      writes_(settings.state_write_rps * 0.95,
-              std::max(settings.state_write_rps * 0.6, double(settings.txn_ops))) {}
+      requests_(settings.state_rps * std::min(0.9, 1.4 / static_cast<double>(settings.peers.size() + 1)),
+                settings.state_rps * 0.3),
+      writes_(settings.state_write_rps * 0.95, settings.state_write_rps * 0.9),
+      fair_(settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1),
+            settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1)) {}
+
+void Store::observe(Revision mark) {
+    if (own_.count(mark) == 0) writes_.drain(host_.now(), 1);
+}
+
+bool Store::room(Priority priority) {
+    const Micros now = host_.now();
+    if (write_queue_.size() >= kRoomQueue || now < write_queue_.pause_until) return false;
+    if (priority != Priority::Deferrable && fair_.left(now) >= 1) return true;
+    return writes_.level(now) > kReserve[static_cast<std::size_t>(priority)];
+}
+
+bool Store::take_writes(Micros now, std::size_t changes, Priority priority) {
+    const auto amount = static_cast<double>(changes);
+    const double reserve = kReserve[static_cast<std::size_t>(priority)] * settings_.state_write_rps * 0.9;
+    if (priority != Priority::Deferrable && fair_.take(now, amount) == 0) {
+        writes_.drain(now, amount);
+        return true;
+    }
+    return writes_.take(now, amount, reserve) == 0;
+}
 
 void Store::request(Call call, ReplyHandler done) {
     call.target = Target::State;
@@ -47,7 +103,7 @@
         return;
     }
     host_.call(std::move(call), [this, done = std::move(done)](const Reply& r) {
-        if (r.status == 0 || r.status == 503) {
+        if (r.status <= 0 || r.status == 503) {
             ++failures_;
         } else if (r.status != 429) {
             failures_ = 0;
@@ -85,7 +141,7 @@
                       std::function<void(ListResult)> done) {
     Call call;
     call.method = "GET";
-    call.path = "/store?starts=" + prefix + (since.empty() ? "" : "&since=" + since) + "&page=100";
+    call.path = "/store?starts=" + prefix + (since.empty() ? "" : "&since=" + since) + "&page=1000";
     call.timeout = 4 * kSecond;
     request(std::move(call), [this, prefix, since, each = std::move(each), result,
                               done = std::move(done)](const Reply& r) mutable {
@@ -140,15 +196,12 @@
 void Store::commit(Change change, std::function<void(const CommitResult&)> done) {
     const bool writes = !change.then.empty();
     Queue& queue = writes ? write_queue_ : check_queue_;
-    if (queue.pending.size() >= kMaxQueue) {
+    if (queue.size() >= kMaxQueue) {
         host_.after(0, [done = std::move(done)] { done({CommitStatus::Unavailable, 0, {}}); });
         return;
     }
-    Pending p{std::move(change), std::move(done), host_.now(), false};
-    if (p.change.urgent)
-        queue.pending.push_front(std::move(p));
-    else
-        queue.pending.push_back(std::move(p));
+    const auto priority = static_cast<std::size_t>(change.priority);
+    queue.pending[priority].push_back({std::move(change), std::move(done), host_.now(), false});
     pump(queue, writes);
 }
 
@@ -162,18 +215,20 @@
 }
 
 void Store::pump(Queue& queue, bool writes) {
-    while (!queue.pending.empty() && queue.in_flight < kMaxInFlight) {
+    while (queue.in_flight < kMaxInFlight) {
+        auto* first = queue.first();
+        if (!first) return;
         const Micros now = host_.now();
         if (now < queue.pause_until) return later(queue, writes, queue.pause_until - now);
         // A moment to gather what belongs into the same transaction.
-        const Micros age = now - queue.pending.front().queued;
+        const Micros age = now - first->front().queued;
         if (age < kGather) return later(queue, writes, kGather - age);
         std::vector<Pending> batch;
         std::set<std::string> keys;
         std::map<std::string, Revision> conditions;
         std::size_t ops = 0, bytes = 0;
-        while (!queue.pending.empty()) {
-            Pending& p = queue.pending.front();
+        while (!first->empty()) {
+            Pending& p = first->front();
             std::size_t size = 64;
             bool clash = false;
             for (const auto& w : p.change.then) {
@@ -191,20 +246,18 @@
                  conditions.size() + p.change.when.size() > settings_.txn_ops * 4 ||
                  bytes + size > kMaxBatchBytes))
                 break;
+            // As many as the budget has room for; the rest when there is more.
+            if (writes && !take_writes(now, p.change.then.size(), p.change.priority)) break;
             ops += p.change.then.size();
             bytes += size;
             for (const auto& w : p.change.then) keys.insert(w.key);
             for (const auto& c : p.change.when) conditions[c.key] = c.mark;
             batch.push_back(std::move(p));
-            queue.pending.pop_front();
-        }
-        if (ops > 0) {
-            if (const Micros wait = writes_.take(now, static_cast<double>(ops)); wait > 0) {
-                for (auto it = batch.rbegin(); it != batch.rend(); ++it)
-                    queue.pending.push_front(std::move(*it));
-                return later(queue, writes, wait);
-            }
+            first->pop_front();
         }
+        if (batch.empty())
+            return later(queue, writes,
+                         std::max<Micros>(static_cast<Micros>(5e5 / settings_.state_write_rps), kGather));
         ++queue.in_flight;
         send(queue, writes, std::move(batch));
     }
@@ -216,6 +269,7 @@
     for (const auto& p : batch) {
         for (const auto& c : p.change.when)
             if (seen.insert(c.key).second) when.push_back(Value{{"k", c.key}, {"mark", c.mark}});
+        if (!p.change.then.empty()) sent_[p.change.purpose] += p.change.then.size();
         for (const auto& w : p.change.then) {
             if (w.value.is_null()) {
                 then.push_back(Value{{"drop", w.key}});
@@ -243,15 +297,20 @@
     auto requeue = [&](std::vector<Pending>&& list, bool alone) {
         for (auto it = list.rbegin(); it != list.rend(); ++it) {
             it->alone = it->alone || alone;
-            queue.pending.push_front(std::move(*it));
+            queue.pending[static_cast<std::size_t>(it->change.priority)].push_front(std::move(*it));
         }
     };
     auto finish = [](const std::vector<Pending>& list, const CommitResult& result) {
         for (const auto& p : list) p.done(result);
     };
     auto ledger = wire::count(reply.body, "ledger");
-    if (reply.status == 200 && (ledger || !writes))
+    if (reply.status == 200 && (ledger || !writes)) {
+        if (writes) {
+            own_.insert(*ledger);
+            if (own_.size() > kMaxOwn) own_.erase(own_.begin());
+        }
         return finish(batch, {CommitStatus::Ok, ledger.value_or(0), {}});
+    }
     if (reply.status == 409) {
         std::set<std::string> failed;
         if (const Value* list = wire::find(reply.body, "failed"); list && list->is_array())
@@ -277,7 +336,8 @@
         requeue(std::move(fresh), false);
         return finish(old, {CommitStatus::Unavailable, 0, {}});
     }
-    if (reply.status == 503) return finish(batch, {CommitStatus::Unavailable, 0, {}});
+    if (reply.status == 503 || reply.status == kNotSent)
+        return finish(batch, {CommitStatus::Unavailable, 0, {}});
     if (reply.status == 400) {
         if (batch.size() > 1) return requeue(std::move(batch), true);
         spdlog::error("state service rejects a transaction on {}",
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -2,9 +2,11 @@
 // Client of the state service: reads, watches, leases, and transactions that are grouped into as few
 // requests as the rates allow.
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,11 +28,17 @@
     std::uint64_t lease = 0;
 };
 
+/// Changes a second are scarce and shared by all controllers: what users wait for goes first, what may wait
+/// takes only what is left over.
+enum class Priority { Urgent = 0, Normal = 1, Deferrable = 2 };
+constexpr std::size_t kPriorities = 3;
+
 /// One caller's part of a transaction. Without writes it only compares.
 struct Change {
     std::vector<Condition> when;
     std::vector<Write> then;
-    bool urgent = false;
+    Priority priority = Priority::Normal;
+    const char* purpose = "other";  // for the metrics
 };
 
 enum class CommitStatus {
@@ -70,10 +78,16 @@
 class RateBudget {
   public:
     RateBudget(double per_second, double burst) : rate_(per_second), burst_(burst), left_(burst) {}
-    /// 0 if taken, else how long to wait.
-    Micros take(Micros now, double amount);
+    /// 0 if taken, else how long to wait until `amount` is there beyond `reserve`.
+    Micros take(Micros now, double amount, double reserve = 0);
+    /// Takes what others have used, down to a full burst of debt.
+    void drain(Micros now, double amount);
+    double left(Micros now);
+    /// What is left, as a share of the burst.
+    double level(Micros now) { return left(now) / burst_; }
 
   private:
+    void refill(Micros now);
     double rate_, burst_, left_;
     Micros at_ = 0;
 };
@@ -91,9 +105,17 @@
     void grant(Micros ttl, std::function<void(std::uint64_t lease)> done);  // 0: none
     void extend(std::uint64_t lease, std::function<void(int status)> done);
 
+    /// News of a change: those of others use up the same budget.
+    void observe(Revision mark);
+    /// Whether a change of this priority would go out about now. Asked before a record is put together, so
+    /// that what has to wait is written once, as it is then.
+    bool room(Priority priority);
+
     /// When the service last answered a request with anything but 503 or 429.
     Micros last_contact() const { return last_contact_; }
     bool reachable() const { return failures_ < 3; }
+    /// Puts and deletions sent so far, by what they are for.
+    const std::map<std::string, std::uint64_t>& sent() const { return sent_; }
 
   private:
     struct Pending {
@@ -103,13 +125,16 @@
         bool alone = false;
     };
     struct Queue {
-        std::deque<Pending> pending;
+        std::array<std::deque<Pending>, kPriorities> pending;
+        std::size_t size() const;
+        std::deque<Pending>* first();
         int in_flight = 0;
         bool timer = false;
         Micros pause_until = 0;
     };
 
     void request(Call call, ReplyHandler done);
+    bool take_writes(Micros now, std::size_t changes, Priority priority);
     void pump(Queue& queue, bool writes);
     void later(Queue& queue, bool writes, Micros delay);
     void send(Queue& queue, bool writes, std::vector<Pending> batch);
@@ -121,9 +146,12 @@
     Host& host_;
     const Settings& settings_;
     RateBudget requests_;
-    RateBudget writes_;
+    RateBudget writes_;       // what all controllers share, as far as we can tell
+    RateBudget fair_;         // our part, whatever the others do: without it the greedy would starve the rest
+    std::set<Revision> own_;  // revisions of our own recent changes
     Queue write_queue_;
     Queue check_queue_;
+    std::map<std::string, std::uint64_t> sent_;
     Micros last_contact_ = 0;
     int failures_ = 0;
 };
--- a/tests/traces_test.cpp
+++ b/tests/traces_test.cpp
@@ -69,9 +69,9 @@
     w->refuse(old, true);  // its store lease runs out; it still reaches every worker
     w->run(6 * kSecond);
     int active = 0;
-    for (int i = 0; i < 3; ++i) active += i != old && w->node(i)->leading();
+    for (int i = 0; i < 3; ++i) active += i != old && w->owner_at(i);
     EXPECT_EQ(active, 1) << w->story();
-    const auto token = w->node(old)->owner("d0") ? w->node(old)->owner("d0")->mark() : 0;
+    const auto token = w->owner_at(old) ? w->owner_at(old)->mark() : 0;
     for (const auto& m : w->machine_names()) EXPECT_GT(w->worker(m)->token(), token) << "shown the new token";
     w->submit(w->job(2, JobKind::Array, 4), 3 * kSecond);
     w->run(15 * kSecond);
@@ -157,21 +157,22 @@
     const int holder = w->holder();
     const std::string node = "loom-" + std::to_string(holder);
     w->hold_next("state", node);  // the watch's answer that would tell
-    const auto mark = w->node(holder)->owner("d0")->mark();
+    const auto mark = w->owner_at(holder)->mark();
+    const std::string domain = w->owner_at(holder)->domain();
     Value live{{"write", "c/live/loom-9"}, {"data", {{"node", "loom-9"}}}};
-    Value write{{"write", "c/domain/d0"}, {"data", {{"holder", "loom-9"}}}};
-    Value change{{"when", Value::array({Value{{"k", "c/domain/d0"}, {"mark", mark}}})},
+    Value write{{"write", "c/domain/" + domain}, {"data", {{"holder", "loom-9"}}}};
+    Value change{{"when", Value::array({Value{{"k", "c/domain/" + domain}, {"mark", mark}}})},
                  {"then", Value::array({live, write})}};
     ASSERT_EQ(w->state().handle("POST", "/commit", change, w->now()).status, 200);
     w->run(50 * kMillisecond);
-    ASSERT_TRUE(w->node(holder)->leading()) << "it does not know yet";
+    ASSERT_TRUE(w->owner_at(holder)) << "it does not know yet";
     const JobSpec job = w->job(1, JobKind::Array, 2);
     w->submit(job, 2 * kSecond, 0);
     w->ask(holder, "POST", "/v1/jobs", wire::job_value(job));
     w->run(500 * kMillisecond);
     // It may take the domain back, since it has not heard that the other is alive; under its old token it
     // binds nothing.
-    const Owner* owner = w->node(holder)->owner("d0");
+    const Owner* owner = w->node(holder)->owner(domain);
     EXPECT_TRUE(w->starts("req-000001") == 0 || (owner && owner->mark() > mark)) << w->story();
 }
 
@@ -303,18 +304,18 @@
     auto w = calm(10);
     w->submit(w->job(1, JobKind::Array, 2), 2 * kSecond);
     w->run(2 * kSecond);
-    Owner* owner = w->node(w->holder())->owner("d0");
+    Owner* owner = w->owner_at(w->holder());
     ASSERT_EQ(owner->jobs().size(), 1u);
     const auto mark = owner->jobs().begin()->second->parts[0].mark;
     Value old{{"s", "queued"},
-              {"dom", "d0"},
+              {"dom", owner->domain()},
               {"k", 2},
               {"d", wire::job_value(w->job(1, JobKind::Array, 2))},
               {"at", 0}};
     w->run(6 * kSecond);
     ASSERT_EQ(w->told("req-000001"), "done");
     owner->on_job("req-000001", old, mark);
-    owner->on_job("req-000001", Value{{"s", "done"}, {"dom", "d0"}, {"k", 2}}, mark + 1);
+    owner->on_job("req-000001", Value{{"s", "done"}, {"dom", owner->domain()}, {"k", 2}}, mark + 1);
     w->run(8 * kSecond);
     EXPECT_EQ(w->starts("req-000001"), 2) << w->story();
     EXPECT_RULES(*w);
@@ -377,12 +378,17 @@
 
 TEST(Workers, AreSentToTheHolderOfTheirBlock) {
     auto w = calm();
+    w->run(15 * kSecond);  // whoever a worker asked at first is forgotten
     const int holder = w->holder();
     const std::string machine = w->machine_names().front();
     const Value report = w->worker(machine)->report(w->now());
     auto r = w->ask(other_than(holder), "POST", "/v1/report", report);
     EXPECT_EQ(r.status, 421);
     EXPECT_EQ(wire::text(r.body, "overseer"), "loom-" + std::to_string(holder));
+    // Back so soon, it can't reach its holder: the report is passed on.
+    r = w->ask(other_than(holder), "POST", "/v1/report", w->worker(machine)->report(w->now()));
+    EXPECT_EQ(r.status, 200);
+    EXPECT_EQ(wire::count(r.body, "shuttle"), w->worker(machine)->token());
     Value newer = w->worker(machine)->report(w->now());
     newer["shuttle"] = *wire::count(newer, "shuttle") + 1000;
     EXPECT_EQ(w->ask(holder, "POST", "/v1/report", newer).status, 503)
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -67,14 +67,26 @@
         };
         world_.at(world_.now_ + call.timeout, [finish] { finish(Reply{}); });
         std::string to = call.target == Target::State ? "state" : call.target == Target::Cloud ? "cloud" : "";
-        if (to.empty())
+        if (call.target == Target::Worker)
             for (auto& [name, r] : world_.workers_)
                 if (r.worker && r.worker->addr() == call.addr) to = name;
-        if (to.empty()) return;
+        if (call.target == Target::Peer) to = "loom-" + std::to_string(std::stoi(call.addr.substr(7)) - 1);
         auto back = [self = shared_from_this(), to, finish](Reply r) {
             self->world_.send(to, self->name_, [finish, r = std::move(r)] { finish(r); });
         };
-        world_.send(name_, to, [self = shared_from_this(), call, to, back] { self->arrive(call, to, back); });
+        auto send = [self = shared_from_this(), call, to, back] {
+            self->world_.send(self->name_, to, [self, call, to, back] { self->arrive(call, to, back); });
+        };
+        if (call.target != Target::Worker && call.target != Target::Peer) return send();
+        // A connection first: one that does not come about in time has carried nothing.
+        const bool refused = call.target == Target::Peer && !world_.node(std::stoi(to.substr(5)));
+        if (to.empty() || refused || world_.is_cut(name_, to)) {
+            world_.at(world_.now_ + (refused ? kMillisecond : std::min(call.timeout, kSecond)), [finish] {
+                finish(Reply{kNotSent, {}});
+            });
+            return;
+        }
+        world_.at(world_.now_ + world_.delay(), send);
     }
     bool alive = true;
 
@@ -92,6 +104,15 @@
             return back(w.state_.handle(call.method, call.path, body, w.now_));
         }
         if (to == "cloud") return back(w.cloud_.handle(call.method, call.path, body, w.now_));
+        if (call.target == Target::Peer) {
+            Controller* peer = w.node(std::stoi(to.substr(5)));
+            if (peer)
+                peer->handle_peer(call.bytes, [back](std::string bytes) {
+                    const int status = bytes.empty() ? 400 : 200;
+                    back(Reply{status, {}, std::move(bytes)});
+                });
+            return;
+        }
         auto it = w.workers_.find(to);
         if (it == w.workers_.end() || !it->second.worker) return;
         auto execute = [&w, to, call, body, back] {
@@ -163,7 +184,7 @@
         kept_back_.push_back(std::move(deliver));
         return;
     }
-    if (cuts_.count(link(from, to))) {
+    if (is_cut(from, to)) {
         held_.emplace_back(from, to, std::move(deliver));
         return;
     }
@@ -217,6 +238,11 @@
     Node& n = nodes_[static_cast<std::size_t>(i)];
     Settings s = settings;
     s.node = "loom-" + std::to_string(i);
+    for (int p = 0; p < node_count(); ++p)
+        if (p != i)
+            s.peers.push_back({"loom-" + std::to_string(p),
+                               "",
+                               {"10.0.0." + std::to_string(p + 1), static_cast<std::uint16_t>(8081)}});
     s.zone = settings.zones[static_cast<std::size_t>(i) % settings.zones.size()];
     n.host = std::make_shared<NodeHost>(*this, i, random());
     n.controller = std::make_unique<Controller>(*n.host, s);
@@ -238,10 +264,21 @@
 
 int World::holder() {
     for (int i = 0; i < node_count(); ++i)
-        if (node(i) && node(i)->leading()) return i;
+        if (owner_at(i)) return i;
     return -1;
 }
 
+Owner* World::owner_at(int i) {
+    if (!node(i)) return nullptr;
+    for (const auto& [name, owner] : node(i)->owners())
+        if (owner && owner->active() && !owner->machines().empty()) return owner.get();
+    return nullptr;
+}
+
+bool World::is_cut(const std::string& a, const std::string& b) const {
+    return cuts_.count(link(a, b)) > 0;
+}
+
 std::string World::add_machine(const std::string& type, const std::string& zone, bool spot) {
     const std::string name = cloud_.rent_one(type, zone, spot, now_, 0);
     boot_machines();
@@ -257,7 +294,7 @@
         auto& r = workers_[name];
         r.worker = std::make_unique<Worker>(name, m.info.addr, *cloud_.type(m.info.type), m.info.zone,
                                             m.info.spot, settings.lease, settings.gang_wait, *this, now_);
-        r.node = static_cast<int>(random() % 3);
+        r.node = static_cast<int>(random() % std::max<std::size_t>(nodes_.size(), 1));
         r.next = now_ + delay();
     }
 }
@@ -323,20 +360,21 @@
     const std::string body = wire::encode(w.report(now_));
     const int target = r.node;
     const std::string host = "loom-" + std::to_string(target);
-    auto give_up = [this, name, generation](int next, Micros wait) {
+    auto give_up = [this, name, generation](int to, Micros wait) {
         auto& x = workers_[name];
         if (!x.worker || x.generation != generation || !x.in_flight) return;
         x.in_flight = false;
-        x.node = next;
+        x.node = to;
         x.next = now_ + wait;
         x.last = now_ + wait - 500 * kMillisecond;
     };
-    at(now_ + 4 * kSecond, [give_up, target] { give_up((target + 1) % 3, kSecond); });
+    const int next = (target + 1) % node_count();
+    at(now_ + 4 * kSecond, [give_up, next] { give_up(next, kSecond); });
     if (!nodes_[static_cast<std::size_t>(target)].controller) {
-        at(now_ + delay(), [give_up, target] { give_up((target + 1) % 3, kSecond); });
+        at(now_ + delay(), [give_up, next] { give_up(next, kSecond); });
         return;
     }
-    send(name, host, [this, name, host, target, session, sent, generation, body, give_up] {
+    send(name, host, [this, name, host, target, next, session, sent, generation, body, give_up] {
         Node& n = nodes_[static_cast<std::size_t>(target)];
         if (!n.controller) return;
         n.controller->handle({"POST", "/v1/report", body, false}, [=, this](const ApiResponse& a) {
@@ -350,7 +388,7 @@
                     const std::string to = *wire::text(a.body, "overseer");
                     give_up(std::atoi(to.c_str() + 5), static_cast<Micros>(random() % 500) * kMillisecond);
                 } else {
-                    give_up((target + 1) % 3, kSecond);
+                    give_up(next, kSecond);
                 }
             });
         });
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -34,7 +34,8 @@
     void crash(int node, Micros back_after);
     Controller* node(int i) { return nodes_[static_cast<std::size_t>(i)].controller.get(); }
     int node_count() const { return static_cast<int>(nodes_.size()); }
-    int holder();  // index of the node that holds the domain and is active, or -1
+    int holder();               // index of a node that holds machines and is active, or -1
+    Owner* owner_at(int node);  // of the machines that it holds
     standin::Worker* worker(const std::string& name);
     standin::StateService& state() { return state_; }
     standin::Cloud& cloud() { return cloud_; }
@@ -46,6 +47,7 @@
     void cut(const std::string& a, const std::string& b);
     void heal(const std::string& a, const std::string& b);
     void heal_all();
+    bool is_cut(const std::string& a, const std::string& b) const;
     /// Keeps back the next message from one host to another, whatever else passes between them.
     void hold_next(const std::string& from, const std::string& to);
     void release();
