--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -21,6 +21,11 @@
 constexpr double kReportsPerCore = 400;
 constexpr Micros kRetry = 300 * kMillisecond;
 
+/// What of a limit is stored in shares; what has no limit needs none.
+Milli to_share(Milli limit) {
+    return limit == kNoLimit ? 0 : limit;
+}
+
 std::function<bool(Block&)> retire_in(const std::string& machine) {
     return [machine](Block& b) {
         Block::Machine* m = b.find(machine);
@@ -350,27 +355,34 @@
 // ---------------------------------------------------------------- shares
 
 Resources Controller::share(const std::string& domain, const std::string& team) const {
-    auto stored = shares_.find(domain);
-    if (stored == shares_.end()) return {};
-    auto part = stored->second.first.find(team);
-    if (part == stored->second.first.end()) return {};
-    Resources r = part->second;
-    if (auto giving = giving_.find(domain); giving != giving_.end())
-        if (auto g = giving->second.find(team); g != giving->second.end()) r -= g->second;
-    // Where operators have lowered a limit since, every part shrinks with it.
-    for (const auto& t : settings_.teams) {
-        if (t.name != team) continue;
-        Resources sum;
-        for (const auto& [name, s] : shares_)
-            if (auto other = s.first.find(team); other != s.first.end()) sum += other->second;
-        auto scale = [](Milli part_of, Milli limit, Milli total) {
-            return total > limit ? static_cast<Milli>(static_cast<double>(part_of) *
-                                                      static_cast<double>(limit) / static_cast<double>(total))
-                                 : part_of;
-        };
-        return {scale(r.cores, t.limit.cores, sum.cores), scale(r.cards, t.limit.cards, sum.cards), 0};
+    const auto limited = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                      [&](const Team& t) { return t.name == team; });
+    if (limited == settings_.teams.end()) return {};
+    Resources ours;
+    if (auto stored = shares_.find(domain); stored != shares_.end()) {
+        if (auto part = stored->second.first.find(team); part != stored->second.first.end())
+            ours = part->second;
+        if (auto giving = giving_.find(domain); giving != giving_.end())
+            if (auto g = giving->second.find(team); g != giving->second.end()) ours -= g->second;
     }
-    return {};
+    // Where operators have lowered a limit since, every part shrinks with it.
+    const Resources sum = shared_out(team);
+    auto scale = [](Milli part_of, Milli limit, Milli total) {
+        if (limit == kNoLimit) return kNoLimit;
+        return total > limit ? static_cast<Milli>(static_cast<double>(part_of) * static_cast<double>(limit) /
+                                                  static_cast<double>(total))
+                             : part_of;
+    };
+    return {scale(ours.cores, limited->limit.cores, sum.cores),
+            scale(ours.cards, limited->limit.cards, sum.cards), 0};
+}
+
+/// What all domains' parts of a team's limit add up to.
+Resources Controller::shared_out(const std::string& team) const {
+    Resources sum;
+    for (const auto& [name, s] : shares_)
+        if (auto part = s.first.find(team); part != s.first.end()) sum += part->second;
+    return sum;
 }
 
 /// The leader creates the first shares, all in one change, and adds to its own domain's what operators have
@@ -388,13 +400,14 @@
         const auto n = static_cast<Milli>(targets.size());
         for (const auto& domain : targets) {
             Shares shares;
-            for (const auto& t : settings_.teams) shares[t.name] = {t.limit.cores / n, t.limit.cards / n, 0};
+            for (const auto& t : settings_.teams)
+                shares[t.name] = {to_share(t.limit.cores) / n, to_share(t.limit.cards) / n, 0};
             next.emplace_back(domain, shares);
             change.when.push_back({keys::share + domain, 0});
         }
         for (const auto& t : settings_.teams) {
-            next.front().second[t.name].cores += t.limit.cores % n;
-            next.front().second[t.name].cards += t.limit.cards % n;
+            next.front().second[t.name].cores += to_share(t.limit.cores) % n;
+            next.front().second[t.name].cards += to_share(t.limit.cards) % n;
         }
     } else {
         for (auto& [domain, held] : shares_) {
@@ -403,13 +416,12 @@
             Shares shares = held.first;
             bool more = false;
             for (const auto& t : settings_.teams) {
-                Resources sum;
-                for (const auto& [name, s] : shares_)
-                    if (auto other = s.first.find(t.name); other != s.first.end()) sum += other->second;
-                if (t.limit.cores <= sum.cores && t.limit.cards <= sum.cards) continue;
+                const Resources sum = shared_out(t.name);
+                const Milli cores = to_share(t.limit.cores), cards = to_share(t.limit.cards);
+                if (cores <= sum.cores && cards <= sum.cards) continue;
                 more = true;
-                shares[t.name].cores += std::max<Milli>(t.limit.cores - sum.cores, 0);
-                shares[t.name].cards += std::max<Milli>(t.limit.cards - sum.cards, 0);
+                shares[t.name].cores += std::max<Milli>(cores - sum.cores, 0);
+                shares[t.name].cards += std::max<Milli>(cards - sum.cards, 0);
             }
             if (!more) return;
             // Every other share must be as it was when the sum was taken.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -17,6 +17,7 @@
 constexpr Micros kAdoptStep = 400 * kMillisecond;  // between the turns of those who could adopt a domain
 constexpr Micros kLeadStep = 300 * kMillisecond;
 constexpr Micros kSumUp = 30 * kSecond;
+constexpr Micros kWeighGuarantees = 100 * kMillisecond;
 constexpr Micros kSettled = 4 * kSecond;  // alive for this long before a domain is handed over
 
 bool starts_with(const std::string& s, const std::string& prefix) {
@@ -49,6 +50,10 @@
 void Controller::start() {
     started_ = host_.now();
     spdlog::info("node {} starts in zone {}", settings_.node, settings_.zone);
+    for (const auto& t : settings_.teams)
+        spdlog::info(
+            "team {}: {} cores guaranteed, {}", t.name, t.guarantee.cores / 1000,
+            t.limit.cores < kNoLimit ? std::to_string(t.limit.cores / 1000) + " at most" : "no limit");
     fetch_types();
     load();
     join();
@@ -273,15 +278,19 @@
     const Value* spec = wire::find(value, "d");
     if (!spec || view.stage == Stage::Done) {
         live_jobs_.erase(ref);
+        guarantees_due_ = true;
     } else {
         auto [it, added] = live_jobs_.try_emplace(ref);
         LiveJob& job = it->second;
         if (added) {
             if (auto parsed = wire::parse_job(*spec).spec) {
-                job.cores = parsed->need.cores;
+                job.team = parsed->team;
+                job.need = parsed->need;
                 job.spot = parsed->spot;
             }
+            job.submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
         }
+        guarantees_due_ = true;
         job.record = value;
         job.mark = mark;
         job.domain = wire::text(value, "dom").value_or("");
@@ -289,6 +298,7 @@
         job.done = view.done;
         job.running = view.running;
         job.cancelled = view.stage == Stage::Cancelled;
+        job.held = wire::flag(value, "er").value_or(false);
     }
     for (auto& [name, owner] : owners_)
         if (owner && owner->active()) owner->on_job(ref, value, mark);
@@ -516,6 +526,28 @@
     });
 }
 
+bool Controller::within_guarantee(const std::string& ref) {
+    const Micros now = host_.now();
+    if (guarantees_due_ && now - guarantees_at_ >= kWeighGuarantees) {
+        guarantees_due_ = false;
+        guarantees_at_ = now;
+        guaranteed_.clear();
+        std::vector<std::pair<std::pair<std::int64_t, std::string>, const LiveJob*>> order;
+        for (const auto& [name, job] : live_jobs_)
+            if (!job.cancelled) order.push_back({{job.submitted_ms, name}, &job});
+        std::sort(order.begin(), order.end());
+        std::map<std::string, Resources> left;
+        for (const auto& t : settings_.teams) left[t.name] = t.guarantee;
+        for (const auto& [key, job] : order) {
+            Resources& room = left[job->team];
+            const int tasks = std::max(job->tasks - job->done, 0);
+            room -= {job->need.cores * tasks, job->need.cards * tasks, 0};
+            if (room.cores >= 0 && room.cards >= 0) guaranteed_.insert(key.second);
+        }
+    }
+    return guaranteed_.count(ref) > 0;
+}
+
 Micros Controller::authority() const {
     // A cancellation that we have not heard of must still end every task in time: the last answer renews a
     // lease for at most `lease`, and both must fit into `cancel`.
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -67,6 +67,7 @@
     void ousted(const std::string& domain) override;
     void wake() override;
     Resources share(const std::string& domain, const std::string& team) const override;
+    bool within_guarantee(const std::string& ref) override;
     std::optional<Micros> peer_ended(std::size_t peer) const override;
     void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
                       std::function<void(bool)> done) override;
@@ -76,12 +77,15 @@
         Value record;
         Revision mark = 0;
         std::string domain;
-        Milli cores = 0;  // of one task
+        std::string team;
+        std::int64_t submitted_ms = 0;
+        Resources need;  // of one task
         int tasks = 0;
         int done = 0;
         int running = 0;
         bool spot = false;
         bool cancelled = false;
+        bool held = false;  // its owner takes it to be broken
         std::map<std::size_t, std::pair<Value, Revision>> parts;
     };
     struct Domain {
@@ -170,6 +174,7 @@
     void lease_blocks();
     void lease_block(Block block, std::vector<std::string> machines);
     void first_shares();
+    Resources shared_out(const std::string& team) const;
     std::vector<std::string> target_domains() const;
     bool spread_out() const;
     std::string zone_of(const std::string& node) const;
@@ -251,6 +256,9 @@
     std::set<std::string> share_busy_;
     bool sharing_first_ = false;
     std::map<std::string, LiveJob> live_jobs_;
+    std::set<std::string> guaranteed_;  // jobs within their team's guarantee
+    bool guarantees_due_ = true;
+    Micros guarantees_at_ = 0;
     std::map<std::string, std::unique_ptr<Owner>> owners_;
     std::vector<std::unique_ptr<Owner>> retired_owners_;
     std::list<std::string> recent_;
--- /dev/null
+++ b/src/core/faults.cpp
@@ -0,0 +1,70 @@
+// The owner's judgement of failed tasks: the job's fault or the machine's.
+
+#include <algorithm>
+
+#include "core/owner.hpp"
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr int kFailures = 4;  // on several machines, before a job is taken to be broken
+constexpr std::size_t kMaxFailedOn = 64;
+constexpr Micros kFirstTry = 4 * kSecond;  // after that, doubled with each try
+constexpr Micros kLongestTry = 60 * kSecond;
+constexpr Micros kAvoid = 10 * kSecond;
+constexpr Micros kAvoidLong = 60 * kSecond;
+}  // namespace
+
+/// A task has failed. A machine is at fault when jobs fail on it that run elsewhere; so as long as nothing of
+/// a job has ever run, neither is known to be at fault, and the job itself keeps off the machine. One that
+/// fails on several machines and runs on none is taken to be broken: it is tried with one task at a time and
+/// ever more seldom, so that it takes hardly any room, starts and changes. Only its user ends it.
+Micros Owner::failed(Machine& m, Job& job, Slot& slot) {
+    const Micros now = context_.host().now();
+    slot.errors = std::min(slot.errors + 1, 6);
+    if (job.done > 0) job.proven = true;
+    if (job.proven) {
+        blame(m, job, now);
+        spdlog::info("task {}/{}: failed on {}", job.spec.ref, &slot - job.slots.data(), m.name);
+        return kSecond << std::min(slot.errors - 1, 5);
+    }
+    ++job.failures;
+    if (job.failed_on.size() < kMaxFailedOn) job.failed_on.insert(m.name);
+    if (job.held) {
+        job.try_after = now + std::min(kFirstTry << std::min(job.tries, 10), kLongestTry);
+        ++job.tries;
+    } else if (job.failed_on.size() >= 3 || (job.failed_on.size() == 2 && job.failures >= kFailures)) {
+        job.held = true;
+        job.try_after = now + kFirstTry;
+        spdlog::info("job {}: taken to be broken, {} tasks failed on {} machines and none has run",
+                     job.spec.ref, job.failures, job.failed_on.size());
+        touch(job, 0);  // so that another holder does not begin with all of it again
+    }
+    spdlog::debug("task {}/{}: failed on {}", job.spec.ref, &slot - job.slots.data(), m.name);
+    return kSecond;
+}
+
+/// A task of it has run, so it is not the job that is broken but the machines it failed on.
+void Owner::proved(Job& job) {
+    if (job.proven) return;
+    job.proven = true;
+    const Micros now = context_.host().now();
+    for (const auto& name : job.failed_on)
+        if (auto m = machines_.find(name); m != machines_.end()) blame(*m->second, job, now);
+    job.failed_on.clear();
+    if (!job.held) return;
+    job.held = false;
+    job.waiting_since = now;
+    spdlog::info("job {}: runs after all", job.spec.ref);
+    touch(job, 0);
+    plan_due_ = true;
+}
+
+void Owner::blame(Machine& m, const Job& job, Micros now) {
+    m.error_jobs.insert(job.spec.ref);
+    m.avoid_until = now + (m.error_jobs.size() >= 2 ? kAvoidLong : kAvoid);
+    spdlog::info("machine {}: avoided, {} jobs that run elsewhere fail on it", m.name, m.error_jobs.size());
+}
+
+}  // namespace cottonway
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -202,15 +202,20 @@
                 if (!m.retired) add(type->size.cores, block.spot);
     for (const auto& [name, b] : booting_)
         if (const auto* type = controller_.machine_type(b.type)) add(type->size.cores, b.spot);
+    // Teams without a guarantee take what is left over: nothing is rented for them.
     Milli limit = 0;
-    for (const auto& t : s.teams) limit += t.limit.cores;
+    std::set<std::string> guests;
+    for (const auto& t : s.teams) {
+        if (t.guarantee.cores == 0) guests.insert(t.name);
+        limit += t.limit.cores < kNoLimit ? t.limit.cores : t.guarantee.cores;
+    }
     Milli ordinary = 0, total = 0;
     for (const auto& [ref, job] : controller_.live_jobs()) {
-        if (job.cancelled) continue;
-        const Milli cores = job.cores * std::max(job.tasks - job.done, 0);
+        if (job.cancelled || job.held || guests.count(job.team)) continue;
+        const Milli cores = job.need.cores * std::max(job.tasks - job.done, 0);
         if (!job.spot) ordinary += cores;
         // What waits behind other work needs less than a core for each of its own: it takes turns.
-        const Milli running = job.spot ? std::min(job.cores * job.running, cores) : cores;
+        const Milli running = job.spot ? std::min(job.need.cores * job.running, cores) : cores;
         total += running + (cores - running) / 2;
     }
     // What may only use ordinary machines must not wait for one to boot: its peak is forgotten slowly. The
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -16,6 +16,7 @@
 constexpr Micros kPlanEvery = 20 * kMillisecond;
 constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
 constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
+constexpr Micros kProven = 5 * kSecond;            // a task that has run for this long can run
 constexpr Micros kIdleOffer = 500 * kMillisecond;  // idle before it is given to another domain
 
 /// A lease measured by another clock may run this much longer by ours.
@@ -183,6 +184,7 @@
         job->parts.resize((job->slots.size() + job->part_tasks - 1) / job->part_tasks);
         known = job.get();
         jobs_.emplace(ref, std::move(job));
+        known->held = wire::flag(value, "er").value_or(false);
         adopt_part(*known, 0, value, mark);
         plan_due_ = true;
         context_.wake();
@@ -285,6 +287,7 @@
         v["ps"] = job.part_tasks;
         v["fd"] = job.done;
         v["fr"] = job.bound;
+        if (job.held) v["er"] = true;
     }
     v["n"] = job.next_attempt;
     // Bindings are grouped by attempt and machine, since a value is limited.
@@ -615,6 +618,7 @@
     Slot& slot = job.slots[static_cast<std::size_t>(task)];
     const Micros now = context_.host().now();
     if (cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
+        proved(job);
         mark_done(job, task);
         if (job.spec.kind == JobKind::Gang) {
             // A gang completes together: if one task is done, all of them are. On a machine that is silent
@@ -627,14 +631,7 @@
     }
     Micros retry = 0;
     if (cause == ExitCause::Error) {
-        // Mostly the machine is at fault, but a job that fails everywhere must not condemn machines.
-        slot.errors = std::min(slot.errors + 1, 6);
-        retry = kSecond << std::min(slot.errors - 1, 5);
-        if (slot.errors <= 2) {
-            m.error_jobs.insert(job.spec.ref);
-            m.avoid_until = now + (m.error_jobs.size() >= 2 ? 60 * kSecond : 5 * kSecond);
-        }
-        spdlog::info("task {}/{}: failed on {}, {} errors", job.spec.ref, task, m.name, slot.errors);
+        retry = failed(m, job, slot);
     } else if (cause == ExitCause::NoRoom || cause == ExitCause::Busy || cause == ExitCause::Unknown) {
         retry = kSecond;
         if (cause == ExitCause::NoRoom) m.avoid_until = now + 2 * kSecond;
@@ -696,6 +693,7 @@
                 remember_image(m, *job, true);
             }
             slot->phase = t.phase;
+            if (t.phase == Phase::Running && now - slot->run_since > kProven) proved(*job);
             if (t.phase != Phase::Exited) continue;
             m.exited.push_back(t);
             exited(m, *job, t.task, t.cause);
@@ -1043,8 +1041,9 @@
         if (m.notice && now <= m.notice_end) drain_noticed(m);
     }
     flush_due_ = true;
-    if (std::any_of(jobs_.begin(), jobs_.end(),
-                    [](const auto& j) { return j.second->idle > 0 && j.second->stage == Stage::Queued; }))
+    if (std::any_of(jobs_.begin(), jobs_.end(), [now](const auto& j) {
+            return j.second->waiting() > 0 || (j.second->held && now >= j.second->try_after);
+        }))
         plan_due_ = true;
     work();
 }
@@ -1100,7 +1099,7 @@
     for (const auto& [ref, job] : jobs_) {
         if (job->spec.rank == Rank::Production)
             d.production += job->spec.need.cores * (job->idle + job->bound);
-        if (job->stage != Stage::Queued || job->idle == 0) continue;
+        if (job->waiting() == 0) continue;
         auto& w = waiting[job->spec.team];
         w.cores += job->spec.need.cores * job->idle;
         w.cards += job->spec.need.cards * job->idle;
@@ -1120,8 +1119,8 @@
     // The job that has waited longest for room speaks for those that need the same.
     const Job* first = nullptr;
     for (const auto& [ref, job] : jobs_)
-        if (job->stage == Stage::Queued && job->idle > 0 && now - job->waiting_since > kWantAfter &&
-            quota_allows(*job, 1) && (!first || job->serial < first->serial))
+        if (job->waiting() > 0 && now - job->waiting_since > kWantAfter && quota_allows(*job, 1) &&
+            (!first || job->serial < first->serial))
             first = job.get();
     if (!first) return std::nullopt;
     peer::Want w;
@@ -1142,9 +1141,8 @@
     }
     if (first->spec.types && first->spec.types->size() == 1) w.type = first->spec.types->front();
     for (const auto& [ref, job] : jobs_)
-        if (job->stage == Stage::Queued && job->spec.spot == first->spec.spot &&
-            now - job->waiting_since > kWantAfter)
-            w.cores += job->spec.need.cores * job->idle;
+        if (job->spec.spot == first->spec.spot && now - job->waiting_since > kWantAfter)
+            w.cores += job->spec.need.cores * job->waiting();
     return w;
 }
 
@@ -1224,9 +1222,9 @@
     Resources spare = context_.share(domain_, team);
     if (auto used = usage_.find(team); used != usage_.end()) spare -= used->second;
     for (const auto& [ref, job] : jobs_)
-        if (job->stage == Stage::Queued && job->spec.team == team) {
-            spare.cores -= job->spec.need.cores * job->idle;
-            spare.cards -= job->spec.need.cards * job->idle;
+        if (job->spec.team == team) {
+            spare.cores -= job->spec.need.cores * job->waiting();
+            spare.cards -= job->spec.need.cards * job->waiting();
         }
     return {std::max<Milli>(spare.cores, 0), std::max<Milli>(spare.cards, 0), 0};
 }
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -92,7 +92,7 @@
     bool draining = false;  // nothing new is bound to it
     Micros idle_since = 0;
     Micros avoid_until = 0;
-    std::set<std::string> error_jobs;
+    std::set<std::string> error_jobs;  // whose tasks fail here though they run elsewhere
     /// Images that it has, or is fetching for a task; most recent last.
     struct Image {
         std::string name;
@@ -139,6 +139,13 @@
     Micros waiting_since = 0;
     bool within_guarantee = false;
     bool leaving = false;  // being given to another domain: nothing of it is bound
+    /// Whether it can run at all: a task of it has ended well, or has run for a while.
+    bool proven = false;
+    std::set<std::string> failed_on;  // machines, while nothing is proven
+    int failures = 0;
+    bool held = false;  // taken to be broken: tried with one task at a time
+    int tries = 0;      // since then
+    Micros try_after = 0;
     bool gang_stopping = false;
     bool gang_done = false;  // one task is done, so all are; each counts until it is proven gone
 
@@ -156,6 +163,9 @@
     std::size_t part_tasks = 64;
     std::vector<Part> parts;
 
+    /// Tasks that wait for room; those of a job that is taken to be broken don't.
+    int waiting() const { return stage == Stage::Queued && !held ? idle : 0; }
+
     Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
     /// Nothing of it is left to run, to stop or to wait for.
     bool over() const {
@@ -183,6 +193,8 @@
     virtual void wake() = 0;
     /// The domain's stored part of a team's limit, less what is being given away.
     virtual Resources share(const std::string& domain, const std::string& team) const = 0;
+    /// Whether the job fits into its team's guarantee together with the team's earlier unfinished jobs.
+    virtual bool within_guarantee(const std::string& ref) = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
 
@@ -260,6 +272,9 @@
     void absent(Machine& m, Job& job, int task, const Report& report, bool is_report);
     void exited(Machine& m, Job& job, int task, ExitCause cause);
     void gone(Job& job, int task, Micros retry_in);
+    Micros failed(Machine& m, Job& job, Slot& slot);
+    void proved(Job& job);
+    static void blame(Machine& m, const Job& job, Micros now);
     void forget_strays(Machine& m);
     static void remember_image(Machine& m, const Job& job, bool ready);
     static void forget_fetch(Machine& m, const Job& job);
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -60,6 +60,7 @@
     std::vector<Candidate> list;
     for (auto& [name, m] : machines_) {
         if (m->relayed != relayed || !usable(*m) || !allowed(job, *m)) continue;
+        if (job.failed_on.count(name)) continue;  // until something of it has run elsewhere
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
@@ -103,36 +104,13 @@
 
 void Owner::plan() {
     const Micros now = context_.host().now();
-    // A job lies within its team's guarantee if it fits into it together with the team's earlier jobs.
     std::vector<Job*> order;
-    for (auto& [ref, job] : jobs_)
-        if (job->stage == Stage::Queued) order.push_back(job.get());
-    std::sort(order.begin(), order.end(), [](const Job* a, const Job* b) {
-        return std::pair(a->submitted_ms, a->spec.ref) < std::pair(b->submitted_ms, b->spec.ref);
-    });
-    // The domain's part of a guarantee is as large as its part of the limit.
-    std::map<std::string, Resources> sums, guarantees;
-    for (const auto& team : context_.settings().teams) {
-        const Resources share = context_.share(domain_, team.name);
-        auto part = [](Milli guarantee, Milli of, Milli limit) {
-            return limit > 0 ? static_cast<Milli>(static_cast<double>(guarantee) * static_cast<double>(of) /
-                                                  static_cast<double>(limit))
-                             : 0;
-        };
-        guarantees[team.name] = {part(team.guarantee.cores, share.cores, team.limit.cores),
-                                 part(team.guarantee.cards, share.cards, team.limit.cards), 0};
-    }
-    for (Job* job : order) {
-        auto& sum = sums[job->spec.team];
-        const int left = job->spec.tasks - job->done;
-        sum.cores += job->spec.need.cores * left;
-        sum.cards += job->spec.need.cards * left;
-        job->within_guarantee = false;
-        auto part = guarantees.find(job->spec.team);
-        job->within_guarantee =
-            part != guarantees.end() && sum.cores <= part->second.cores && sum.cards <= part->second.cards;
+    for (auto& [ref, job] : jobs_) {
+        if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
+        if (job->held && (now < job->try_after || job->bound > 0)) continue;
+        job->within_guarantee = context_.within_guarantee(ref);
+        order.push_back(job.get());
     }
-    std::erase_if(order, [](const Job* j) { return j->idle == 0 || j->leaving; });
     // Highest rank first, then what is guaranteed, then the nearest deadline.
     auto due = [](const Job* j) {
         return j->spec.deadline ? j->submitted_ms + *j->spec.deadline / kMillisecond : INT64_MAX;
@@ -159,7 +137,8 @@
     const bool preempts = now - preempted_at_ >= kPreemptEvery;
     if (preempts) preempted_at_ = now;
     for (Job* job : order)
-        if (!plan_job(*job) && preempts && now - job->waiting_since > kPreemptAfter) preempt(*job);
+        if (!plan_job(*job) && preempts && !job->held && now - job->waiting_since > kPreemptAfter)
+            preempt(*job);
 }
 
 /// True if nothing is left to place.
@@ -225,6 +204,7 @@
         ++c.tasks;
         c.has_image = true;
         spdlog::info("task {}/{}: attempt {} bound to {}", job.spec.ref, i, slot.attempt, m.name);
+        if (job.held) return true;  // one try at a time
     }
     return all;
 }
@@ -349,7 +329,9 @@
         }
         if (other->spec.kind == JobKind::Gang) continue;
         const bool lower = other->spec.rank > job.spec.rank && (may_waste || other->spec.checkpoint > 0);
-        const bool reclaim = reclaims && !other->within_guarantee && other->spec.team != job.spec.team;
+        // What ranks higher would only come back to the same room, and be stopped again.
+        const bool reclaim = reclaims && other->spec.rank >= job.spec.rank && !other->within_guarantee &&
+                             other->spec.team != job.spec.team;
         if (!lower && !reclaim) continue;
         if (other->spec.kind == JobKind::Service && !reclaim) continue;
         const double ran = slot.run_since ? static_cast<double>(now - slot.run_since) / 1e6 : 0.0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -148,10 +148,16 @@
         for (const auto& z : *zones)
             if (auto v = z.value<std::string>()) s.zones.push_back(*v);
     rows(t, "deployment.teams", true, [&](const toml::table& row) {
+        // 0 or nothing means none: no guarantee, or no limit (a guest team).
+        auto guarantee = [&](const char* key) { return row.contains(key) ? amount(row, key) : 0; };
+        auto limit = [&](const char* key) {
+            const Milli most = guarantee(key);
+            return most > 0 ? most : kNoLimit;
+        };
         Team team;
         team.name = text(row, "name");
-        team.guarantee = {amount(row, "cpus"), amount(row, "gpus"), 0};
-        team.limit = {amount(row, "cpus_max"), amount(row, "gpus_max"), 0};
+        team.guarantee = {guarantee("cpus"), guarantee("gpus"), 0};
+        team.limit = {limit("cpus_max"), limit("gpus_max"), 0};
         s.teams.push_back(team);
     });
     rows(t, "deployment.objectives", false, [&](const toml::table& row) {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -14,6 +14,9 @@
     std::uint16_t port = 0;
 };
 
+/// The limit of a team that has none. Far above all that there is, and far from overflowing in sums.
+constexpr Milli kNoLimit = 1'000'000'000'000;
+
 struct Team {
     std::string name;
     Resources guarantee;
