--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -16,6 +16,9 @@
 constexpr Micros kPlanEvery = 20 * kMillisecond;
 constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
 constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
+// Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
+// launch, reports, a result) that is a fifth of its time.
+constexpr double kIdleStarts = 600;
 constexpr Micros kProven = 5 * kSecond;            // a task that has run for this long can run
 constexpr Micros kIdleOffer = 500 * kMillisecond;  // idle before it is given to another domain
 
@@ -41,7 +44,11 @@
 }
 
 Owner::Owner(OwnerContext& context, std::string domain, Revision mark, Micros former_authority_end)
-    : context_(context), domain_(std::move(domain)), mark_(mark), former_end_(former_authority_end) {}
+    : context_(context),
+      domain_(std::move(domain)),
+      mark_(mark),
+      former_end_(former_authority_end),
+      idle_starts_(kIdleStarts * context.settings().cpu_share, kIdleStarts * context.settings().cpu_share) {}
 
 Owner::~Owner() {
     *alive_ = false;
@@ -548,6 +555,7 @@
     usage_[job.spec.team] -= job.spec.need;
     slot.machine = nullptr;
     slot.state = SlotState::Idle;
+    job.first_idle = std::min(job.first_idle, static_cast<std::size_t>(task));
     slot.seen = slot.foreign = slot.launch_sent = slot.stop = false;
     --job.bound;
     ++job.idle;
@@ -1219,14 +1227,17 @@
 }
 
 Resources Owner::spare_share(const std::string& team) const {
-    Resources spare = context_.share(domain_, team);
+    const Resources share = context_.share(domain_, team);
+    Resources spare = share;
     if (auto used = usage_.find(team); used != usage_.end()) spare -= used->second;
     for (const auto& [ref, job] : jobs_)
         if (job->spec.team == team) {
             spare.cores -= job->spec.need.cores * job->waiting();
             spare.cards -= job->spec.need.cards * job->waiting();
         }
-    return {std::max<Milli>(spare.cores, 0), std::max<Milli>(spare.cards, 0), 0};
+    // What has no limit is not shared out, so there is nothing of it to give.
+    auto part = [](Milli of, Milli left) { return of == kNoLimit ? 0 : std::max<Milli>(left, 0); };
+    return {part(share.cores, spare.cores), part(share.cards, spare.cards), 0};
 }
 
 Value Owner::status() const {
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -136,6 +136,7 @@
     std::vector<Slot> slots;
     std::int64_t next_attempt = 1;
     int idle = 0, bound = 0, done = 0;  // by state; Binding counts as bound, DonePending as done
+    std::size_t first_idle = 0;         // no task before it waits
     Micros waiting_since = 0;
     bool within_guarantee = false;
     bool leaving = false;  // being given to another domain: nothing of it is bound
@@ -293,6 +294,7 @@
 
     void plan();
     bool plan_job(Job& job);
+    bool keeps_off(const Job& job, const Machine& m) const;
     bool plan_gang(Job& job, const std::vector<Candidate>& candidates, const std::vector<Machine*>& machines);
     void preempt(Job& job);
     struct Victim {
@@ -347,6 +349,9 @@
     Micros planned_at_ = 0;
     Micros preempted_at_ = 0;
     int preemptions_left_ = 0;
+    RateBudget idle_starts_;  // starts of idle work, which must not take the time that others need
+    std::ptrdiff_t spot_machines_ = 0;
+    bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
     /// What found no room in the current pass: whatever needs as much under the same constraints won't
     /// either.
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -401,8 +401,11 @@
             Owner* local = nullptr;
             Milli most = 0;
             auto spare = [](const peer::TeamLoad& t) {
-                return t.share.cores - t.used.cores - t.waiting.cores + t.share.cards - t.used.cards -
-                       t.waiting.cards;
+                auto left = [](Milli share, Milli used, Milli waiting) {
+                    return share == kNoLimit ? 0 : std::max<Milli>(share - used - waiting, 0);
+                };
+                return left(t.share.cores, t.used.cores, t.waiting.cores) +
+                       left(t.share.cards, t.used.cards, t.waiting.cards);
             };
             for (std::size_t i = 0; i < peers_.size(); ++i) {
                 const auto& p = peers_[i];
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -54,13 +54,20 @@
     no_room_.push_back({s.spot, s.zone, s.types, s.need});
 }
 
+/// Machines that it may use but had better not: those it failed on, until something of it has run elsewhere,
+/// and for idle work the ordinary ones, which others may wait for that can use no other.
+bool Owner::keeps_off(const Job& job, const Machine& m) const {
+    if (job.failed_on.count(m.name)) return true;
+    return job.spec.rank == Rank::Low && job.spec.spot && !m.spot && spot_machines_ > 0;
+}
+
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
 /// reach are asked separately.
 std::vector<Candidate> Owner::candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines) {
     std::vector<Candidate> list;
     for (auto& [name, m] : machines_) {
         if (m->relayed != relayed || !usable(*m) || !allowed(job, *m)) continue;
-        if (job.failed_on.count(name)) continue;  // until something of it has run elsewhere
+        if (keeps_off(job, *m)) continue;
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
@@ -131,6 +138,11 @@
     });
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].second;
     no_room_.clear();
+    spot_machines_ = std::count_if(machines_.begin(), machines_.end(),
+                                   [this](const auto& m) { return m.second->spot && usable(*m.second); });
+    idle_bound_ = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
+        return j.second->spec.rank == Rank::Low && j.second->bound > 0;
+    });
     short_of_share_.clear();
     claimed_.clear();
     preemptions_left_ = kPreemptions;
@@ -155,19 +167,27 @@
     const std::int64_t attempt = job.next_attempt;
     bool all = true;
     bool tried_relayed = false;
-    for (std::size_t i = 0; i < job.slots.size(); ++i) {
+    while (job.first_idle < job.slots.size() && job.slots[job.first_idle].state != SlotState::Idle)
+        ++job.first_idle;
+    for (std::size_t i = job.first_idle; i < job.slots.size(); ++i) {
         Slot& slot = job.slots[i];
         if (slot.state != SlotState::Idle) continue;
         if (slot.retry_at > now || stray_tasks_.count({job.spec.ref, static_cast<int>(i)})) {
             all = all && slot.retry_at > now;
             continue;
         }
+        // A part must not outgrow its value; the next ones have room.
+        if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) {
+            i = (i / job.part_tasks + 1) * job.part_tasks - 1;
+            continue;
+        }
         if (!quota_allows(job, 1)) {  // not for want of room
             auto& missing = short_of_share_[job.spec.team];
             missing.cores += job.spec.need.cores * job.idle;
             missing.cards += job.spec.need.cards * job.idle;
             return true;
         }
+        if (job.spec.rank == Rank::Low && idle_starts_.take(now, 1) > 0) return true;
         std::ptrdiff_t chosen = -1;
         for (;;) {
             std::vector<Candidate> open;
@@ -193,8 +213,6 @@
             return false;
         }
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
-        // A part must not outgrow its value.
-        if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) return true;
         bind(job, static_cast<int>(i), m, attempt);
         job.next_attempt = attempt + 1;
         touch(job, i / job.part_tasks);
@@ -277,7 +295,8 @@
                                                job.submitted_ms + *job.spec.deadline / kMillisecond;
     const bool may_waste = job.spec.rank == Rank::Production || (job.spec.rank == Rank::High && late);
     const bool reclaims = job.within_guarantee && now - job.waiting_since > 2 * kSecond;
-    if (job.spec.rank > Rank::High && !reclaims) return;
+    // Work of normal rank makes room only where idle work is.
+    if (job.spec.rank > Rank::High && !reclaims && (job.spec.rank == Rank::Low || !idle_bound_)) return;
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
     const int most = job.spec.rank == Rank::Production ? job.idle : 1;
@@ -328,7 +347,10 @@
             continue;
         }
         if (other->spec.kind == JobKind::Gang) continue;
-        const bool lower = other->spec.rank > job.spec.rank && (may_waste || other->spec.checkpoint > 0);
+        const bool lower = other->spec.rank == Rank::Low
+                               ? job.spec.rank < Rank::Low
+                               : job.spec.rank <= Rank::High && other->spec.rank > job.spec.rank &&
+                                     (may_waste || other->spec.checkpoint > 0);
         // What ranks higher would only come back to the same room, and be stopped again.
         const bool reclaim = reclaims && other->spec.rank >= job.spec.rank && !other->within_guarantee &&
                              other->spec.team != job.spec.team;
