--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kUsualBinding = 22;
 constexpr Micros kDefer = 1'500 * kMillisecond;  // done tasks of a job that goes on are written together
 constexpr Micros kPlanEvery = 20 * kMillisecond;
+constexpr Micros kIdlePatience = 3 * kSecond;      // of binds of idle work, before they compete with others
 constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
 constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
 // Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
@@ -371,7 +372,8 @@
                 // Each part is written on the condition that the job's record stays as it is.
                 if (p == 0 ? busy : job->parts[0].in_flight || job->parts[0].reloading) continue;
                 if (part.binding == 0 && now - part.dirty_since < kDefer) continue;
-                const Priority priority = part.binding == 0              ? Priority::Deferrable
+                const bool can_wait = job->spec.rank == Rank::Low && now - part.dirty_since < kIdlePatience;
+                const Priority priority = part.binding == 0 || can_wait  ? Priority::Deferrable
                                           : job->spec.rank <= Rank::High ? Priority::Urgent
                                                                          : Priority::Normal;
                 list.push_back({priority, part.dirty_since, job, p});
@@ -1050,7 +1052,8 @@
     }
     flush_due_ = true;
     if (std::any_of(jobs_.begin(), jobs_.end(), [now](const auto& j) {
-            return j.second->waiting() > 0 || (j.second->held && now >= j.second->try_after);
+            const Job& job = *j.second;
+            return job.stage == Stage::Queued && job.idle > 0 && (!job.held || now >= job.try_after);
         }))
         plan_due_ = true;
     work();
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -164,8 +164,9 @@
     std::size_t part_tasks = 64;
     std::vector<Part> parts;
 
-    /// Tasks that wait for room; those of a job that is taken to be broken don't.
-    int waiting() const { return stage == Stage::Queued && !held ? idle : 0; }
+    /// Tasks that wait for room. Those of a job that is taken to be broken don't, and idle work takes what is
+    /// left over: neither moves machines or shares, or keeps other jobs away.
+    int waiting() const { return stage == Stage::Queued && !held && spec.rank != Rank::Low ? idle : 0; }
 
     Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
     /// Nothing of it is left to run, to stop or to wait for.
@@ -350,6 +351,7 @@
     Micros preempted_at_ = 0;
     int preemptions_left_ = 0;
     RateBudget idle_starts_;  // starts of idle work, which must not take the time that others need
+    Micros idle_planned_at_ = 0;
     std::ptrdiff_t spot_machines_ = 0;
     bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
+constexpr Micros kIdleEvery = 500 * kMillisecond;
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
 constexpr int kPreemptions = 20;          // in one pass
 constexpr std::size_t kBindingRoom = 20;  // bytes a task that a part has room for
@@ -100,7 +101,9 @@
         return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
     };
     std::vector<Image> order{Image::Any};
-    if (job.spec.rank <= Rank::High) order = {Image::Ready, Image::Fetching, Image::Any};
+    // Idle work stays together where its image is, so that one report and one change settle many tasks.
+    if (job.spec.rank <= Rank::High || job.spec.rank == Rank::Low)
+        order = {Image::Ready, Image::Fetching, Image::Any};
     for (const Image image : order) {
         std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
         if (chosen < 0) chosen = pass(image, false);
@@ -111,10 +114,14 @@
 
 void Owner::plan() {
     const Micros now = context_.host().now();
+    // Idle work is bound in batches: that takes fewer changes and less time.
+    const bool idle_turn = now - idle_planned_at_ >= kIdleEvery;
+    if (idle_turn) idle_planned_at_ = now;
     std::vector<Job*> order;
     for (auto& [ref, job] : jobs_) {
         if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
         if (job->held && (now < job->try_after || job->bound > 0)) continue;
+        if (job->spec.rank == Rank::Low && !idle_turn) continue;
         job->within_guarantee = context_.within_guarantee(ref);
         order.push_back(job.get());
     }
