--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -19,6 +19,7 @@
 // machines: a report costs a few tenths of a millisecond with all that follows from it, and most of the share
 // must be left for bursts, users and the loss of others.
 constexpr double kReportsPerCore = 400;
+constexpr Micros kReturnPatience = 1'500 * kMillisecond;  // of returns, so that one change does for many
 constexpr Micros kRetry = 300 * kMillisecond;
 
 /// What of a limit is stored in shares; what has no limit needs none.
@@ -117,8 +118,11 @@
 /// Changes to one record are gathered, so that many machines cost one put. A change is repeated on the record
 /// as it is until it has been made or has nothing left to do: a late execution of an earlier try fails on the
 /// mark, or has made the change.
-void Controller::edit_block(const std::string& id, BlockEdit edit) {
-    edits_[id].waiting.push_back(std::move(edit));
+void Controller::edit_block(const std::string& id, BlockEdit edit, Micros patience) {
+    BlockEdits& edits = edits_[id];
+    const Micros by = host_.now() + patience;
+    if (edits.waiting.empty() || by < edits.due) edits.due = by;
+    edits.waiting.push_back(std::move(edit));
 }
 
 void Controller::flush_edits() {
@@ -127,7 +131,8 @@
             it = edits_.erase(it);
             continue;
         }
-        if (!it->second.in_flight && host_.now() >= it->second.not_before) flush_edits(it->first, it->second);
+        if (!it->second.in_flight && host_.now() >= std::max(it->second.not_before, it->second.due))
+            flush_edits(it->first, it->second);
         ++it;
     }
 }
@@ -180,22 +185,26 @@
     const Block* block = block_of(machine);
     const Owner* o = owner(domain);
     if (!block || block->domain != domain || !o) return host_.after(0, [done] { done(false); });
-    if (edit == MachineEdit::Retire) return edit_block(block->id, {retire_in(machine), std::move(done)});
+    if (edit == MachineEdit::Retire)
+        return edit_block(block->id, {retire_in(machine), std::move(done)}, kReturnPatience);
     // Its own next mark is higher than every token that anyone holds now.
     Revision above = o->mark();
     for (const auto& m : block->machines)
         if (m.name == machine) above = std::max(above, m.token);
-    edit_block(block->id, {[machine, above](Block& b) {
-                               Block::Machine* m = b.find(machine);
-                               if (!m || m->token > above) return false;
-                               m->raise = true;
-                               return true;
-                           },
-                           std::move(done)});
+    edit_block(block->id,
+               {[machine, above](Block& b) {
+                    Block::Machine* m = b.find(machine);
+                    if (!m || m->token > above) return false;
+                    m->raise = true;
+                    return true;
+                },
+                std::move(done)},
+               0);
 }
 
 void Controller::retire_machine(const std::string& machine) {
-    if (const Block* block = block_of(machine)) edit_block(block->id, {retire_in(machine), nullptr});
+    if (const Block* block = block_of(machine))
+        edit_block(block->id, {retire_in(machine), nullptr}, kReturnPatience);
 }
 
 void Controller::forget_machines(const std::vector<std::string>& machines) {
@@ -203,12 +212,14 @@
     for (const auto& name : machines)
         if (const Block* block = block_of(name)) by_block[block->id].push_back(name);
     for (auto& [id, names] : by_block)
-        edit_block(id, {[names](Block& b) {
-                            return std::erase_if(b.machines, [&](const Block::Machine& m) {
-                                       return std::find(names.begin(), names.end(), m.name) != names.end();
-                                   }) > 0;
-                        },
-                        nullptr});
+        edit_block(id,
+                   {[names](Block& b) {
+                        return std::erase_if(b.machines, [&](const Block::Machine& m) {
+                                   return std::find(names.begin(), names.end(), m.name) != names.end();
+                               }) > 0;
+                    },
+                    nullptr},
+                   kReturnPatience);
 }
 
 // ---------------------------------------------------------------- leasing
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -158,6 +158,7 @@
         std::vector<BlockEdit> waiting;
         bool in_flight = false;
         Micros not_before = 0;
+        Micros due = 0;
     };
     struct Unleased {
         Block::Machine machine;
@@ -168,7 +169,8 @@
         Micros since = 0;
         std::vector<std::function<void()>> done;
     };
-    void edit_block(const std::string& id, BlockEdit edit);
+    /// `patience`: how long the change may wait for others to the same record.
+    void edit_block(const std::string& id, BlockEdit edit, Micros patience);
     void flush_edits();
     void flush_edits(const std::string& id, BlockEdits& edits);
     void lease_blocks();
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -22,7 +22,6 @@
 constexpr Micros kAverage = 60 * kSecond;
 constexpr double kOrdinaryMargin = 1.1;
 constexpr double kMargin = 1.15;
-constexpr double kSpotMargin = 1.3;
 }  // namespace
 
 Fleet::Fleet(Controller& controller)
@@ -68,7 +67,7 @@
         booting_.clear();
         doomed_.clear();
         first_listed_.clear();
-        peak_ordinary_ = peak_total_ = peak_spot_ = mean_flexible_ = 0;
+        peak_ordinary_ = mean_flexible_ = 0;
         weighed_at_ = 0;
     }
     if (!listing_ && now - listed_at_ > kListEvery) {
@@ -210,11 +209,10 @@
         if (t.guarantee.cores == 0) guests.insert(t.name);
         limit += t.limit.cores < kNoLimit ? t.limit.cores : t.guarantee.cores;
     }
-    Milli ordinary = 0, flexible = 0, everything = 0;
+    Milli ordinary = 0, flexible = 0;
     for (const auto& [ref, job] : controller_.live_jobs()) {
         if (job.cancelled || job.held || guests.count(job.team)) continue;
         const Milli cores = job.need.cores * std::max(job.tasks - job.done, 0);
-        everything += cores;
         if (!job.spot) {
             ordinary += cores;
             continue;
@@ -223,28 +221,21 @@
         const Milli running = std::min(job.need.cores * job.running, cores);
         flexible += running + (cores - running) / 2;
     }
-    // A new leader does not know what was needed lately: as much as there is.
     const Milli spot = balance_.total - balance_.ordinary;
-    if (weighed_at_ == 0) everything = std::max(everything, balance_.total);
     const auto passed = static_cast<double>(weighed_at_ > 0 ? now - weighed_at_ : 0);
     weighed_at_ = now;
-    auto fade = [passed](double& peak, Milli current, Micros half) {
-        peak = std::max(static_cast<double>(current), peak * std::exp2(-passed / static_cast<double>(half)));
-    };
-    fade(peak_ordinary_, ordinary, kForget);
-    fade(peak_total_, everything, kForget);
-    fade(peak_spot_, spot, kForget);
+    peak_ordinary_ = std::max(static_cast<double>(ordinary),
+                              peak_ordinary_ * std::exp2(-passed / static_cast<double>(kForget)));
     const double weight = passed > 0 ? std::exp(-passed / static_cast<double>(kAverage)) : 0;
     mean_flexible_ = mean_flexible_ * weight + static_cast<double>(flexible) * (1 - weight);
-    // Spot machines are cheap: all that was needed lately, with a lot to spare. Ordinary ones: what work
-    // needs that may not use spot, whose peak is forgotten slowly since it must not wait for a machine to
-    // boot; and what spot machines don't cover of the rest. That can wait a little, and a burst is over
-    // before machines are up, so its average counts. Spot machines that were returned can be had again.
-    const double rest = mean_flexible_ * kMargin - peak_spot_;
+    // Spot machines are cheap: all that the teams may use. Ordinary ones: what work needs that may not use
+    // spot, whose peak is forgotten slowly since it must not wait for a machine to boot; and what spot
+    // machines don't cover of the rest. That can wait a little, and a burst is over before machines are up,
+    // so its average counts.
+    const double rest = mean_flexible_ * kMargin - static_cast<double>(spot);
     balance_.wanted_ordinary = std::min(
         limit, static_cast<Milli>(std::max(peak_ordinary_ * kOrdinaryMargin, peak_ordinary_ + rest)));
-    balance_.wanted_total =
-        std::min(limit, std::max(static_cast<Milli>(peak_total_ * kSpotMargin), balance_.wanted_ordinary));
+    balance_.wanted_total = limit;
 }
 
 /// At most every ten seconds, so that the log shows why machines come and go.
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -92,8 +92,6 @@
     Micros reclaimed_at_ = 0;
     Micros holding_since_ = 0;
     double peak_ordinary_ = 0;
-    double peak_total_ = 0;
-    double peak_spot_ = 0;
     double mean_flexible_ = 0;
     Micros weighed_at_ = 0;
     Micros logged_at_ = 0;
