--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -284,6 +284,7 @@
         Micros sent_on = 0;        // when it was last sent to its holder
         Micros renewed = 0;        // when its lease was last renewed from here on the holder's behalf
         Micros refused_until = 0;  // promised not to
+        bool direct = false;       // its holder reaches it
     };
     std::unordered_map<std::string, Visit> visits_;
     std::map<std::string, Milli> sent_to_;  // cores of jobs given to other domains since they last told
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -797,16 +797,17 @@
     if (!authorised || report.session < m.min_session) return std::nullopt;
     const Micros now = context_.host().now();
     if (m.addr.empty()) m.addr = report.addr;
+    if (relayed && !m.relayed) m.relayed_since = now;
     m.relayed = relayed;
     if (active_)
         absorb(m, report, true);
     else
         greet(m, report);
     m.answered = std::max(m.answered, now);
-    Answer answer{token(m), {}, now - m.direct_ok < kProbeEvery * 2};
+    Answer answer{token(m), {}, !relayed || m.direct_ok > m.relayed_since};
     if (active_ && report.session == m.session && report.seq == m.seq) answer.orders = orders_for(m, false);
     // Whether the worker can be reached without help is found out by calling it now and then.
-    if (relayed && now - m.direct_ok > kProbeEvery) poke(m);
+    if (probe_due(m)) poke(m);
     if (plan_due_ || flush_due_ || !due_.empty()) context_.wake();
     return answer;
 }
@@ -861,6 +862,12 @@
     return orders;
 }
 
+/// Whether a worker whose reports are relayed is to be called, to find out whether it can be reached again.
+bool Owner::probe_due(const Machine& m) const {
+    return m.relayed && m.direct_ok <= m.relayed_since &&
+           context_.host().now() - std::max(m.probed_at, m.direct_ok) > kProbeEvery;
+}
+
 /// Puts a machine on the list of those to send to.
 void Owner::poke(Machine& m) {
     if (m.due) return;
@@ -890,8 +897,9 @@
     const Micros now = context_.host().now();
     if (m.direct_in_flight || now < m.direct_after || m.addr.empty()) return;
     // A worker that only others reach gets its orders in the answers to its reports.
-    const bool probe = m.relayed && now - m.direct_ok > kProbeEvery;
+    const bool probe = probe_due(m);
     if (m.relayed && !probe) return;
+    if (probe) m.probed_at = now;
     const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
     std::vector<Order> orders;
     if (m.session > 0 && !show_token && !probe) orders = orders_for(m, true);
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -82,8 +82,10 @@
     bool direct_in_flight = false;
     Micros direct_after = 0;
     Micros direct_backoff = 0;
-    Micros direct_ok = 0;   // when it last answered a call of ours
-    bool relayed = false;   // its last report came through another controller
+    Micros direct_ok = 0;  // when it last answered a call of ours
+    bool relayed = false;  // its last report came through another controller
+    Micros relayed_since = 0;
+    Micros probed_at = 0;
     bool suspect = false;   // a connection to it did not come about; until it is heard again
     bool due = false;       // in the owner's list of machines to send to
     bool raising = false;   // its token is being raised
@@ -323,6 +325,7 @@
     void adopt_part(Job& job, std::size_t part, const Value& value, Revision mark);
 
     std::vector<Order> orders_for(Machine& m, bool direct);
+    bool probe_due(const Machine& m) const;
     void poke(Machine& m);
     void send_orders();
     void send_to(Machine& m);
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -15,6 +15,8 @@
 constexpr Micros kFresh = 2 * kSecond;  // what a peer has told is of use for this long
 constexpr Micros kReachable = 1'500 * kMillisecond;
 constexpr Micros kBack = 12 * kSecond;  // a worker that is back this soon could not reach its holder
+// What a try at a node that can't be reached costs a worker: no response for 4 s, and another second.
+constexpr Micros kWorkerTry = 5 * kSecond;
 constexpr Micros kRenounceEvery = 500 * kMillisecond;
 constexpr Micros kAskEvery = 250 * kMillisecond;
 constexpr Micros kPeerTimeout = 800 * kMillisecond;
@@ -80,9 +82,14 @@
     if (!live_.count(holder)) return stand_in(r, block, respond);
     // Where we can't reach the holder either, another try would only cost the worker its lease.
     if (!peer_reachable(*peer)) return stand_in(r, block, respond);
+    // Where the lease leaves no time to find that out, the report is passed on first; the holder tells
+    // whether it reaches the worker itself.
     const bool back = visit.sent_on > 0 && now - visit.sent_on < kBack;
-    visit.sent_on = now;
-    if (!back) return respond({421, wire::redirect(holder)});
+    const bool no_time = settings_.lease < settings_.report_every * 5 / 4 + 2 * kWorkerTry + kSecond;
+    if (!back && (!no_time || std::exchange(visit.direct, false))) {
+        visit.sent_on = now;
+        return respond({421, wire::redirect(holder)});
+    }
     relay(r, *peer, bytes, std::move(respond));
 }
 
@@ -96,7 +103,10 @@
                       if (!block || owner(block->domain)) return respond(unavailable());
                       return stand_in(r, *block, respond);
                   }
-                  if (relayed->direct) visits_[r.machine].sent_on = 0;  // sent there again next time
+                  if (relayed->direct) {  // sent there next time
+                      visits_[r.machine].sent_on = 0;
+                      visits_[r.machine].direct = true;
+                  }
                   auto body = wire::decode(relayed->body);
                   if (relayed->status != 200 || !body) return respond(unavailable());
                   respond({200, std::move(*body)});
