--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -80,6 +80,7 @@
     ask_for_more();
     lease_blocks();
     first_shares();
+    store_types();
     flush_edits();
     fleet_.tick();
     retired_owners_.clear();
@@ -115,16 +116,52 @@
     call.method = "GET";
     call.path = "/machine_types";
     host_.call(std::move(call), [this](const Reply& r) {
-        auto types = r.status == 200 ? wire::parse_types(r.body) : std::nullopt;
-        if (types && !types->empty()) {
-            types_ = std::move(*types);
-            return wake();
-        }
+        if (r.status == 200) learn(r.body);
+        if (!types_answer_.is_null()) return;
         host_.after(kSecond + static_cast<Micros>(host_.random()() % 500) * kMillisecond,
                     [this] { fetch_types(); });
     });
 }
 
+void Controller::learn(const Value& answer, bool stored) {
+    auto types = wire::parse_types(answer);
+    if (!types || types->empty()) return;
+    if (!stored) types_answer_ = answer;
+    for (const auto& t : *types) {
+        auto known = std::find_if(types_.begin(), types_.end(),
+                                  [&](const MachineType& k) { return k.name == t.name; });
+        if (known != types_.end())
+            *known = t;
+        else
+            types_.push_back(t);
+    }
+    guarantees_due_ = true;
+    wake();
+}
+
+/// The leader keeps the machine types in the store as well, so that controllers that start while the cloud
+/// is out of reach need not wait for it to take their domains back. Prices in them may be old.
+void Controller::store_types() {
+    if (!leading() || storing_types_ || types_answer_.is_null() || host_.now() - types_stored_at_ < kSumUp)
+        return;
+    types_stored_at_ = host_.now();
+    auto fixed = [](const Value& answer) {
+        std::set<std::tuple<std::string, Milli, Milli, Milli, std::vector<std::string>>> out;
+        if (auto types = wire::parse_types(answer))
+            for (const auto& t : *types) out.emplace(t.name, t.size.cores, t.size.cards, t.size.ram, t.zones);
+        return out;
+    };
+    if (fixed(stored_types_.first) == fixed(types_answer_)) return;
+    storing_types_ = true;
+    Change change;
+    change.when = {{keys::leader, leader_.mark}, {keys::types, stored_types_.second}};
+    change.then.push_back({keys::types, types_answer_});
+    store_.commit(std::move(change), [this](const CommitResult& r) {
+        // One that the store does not take is not tried again.
+        if (r.status != CommitStatus::Rejected) after_sync([this](bool) { storing_types_ = false; });
+    });
+}
+
 const MachineType* Controller::machine_type(const std::string& name) {
     for (const auto& t : types_)
         if (t.name == name) return &t;
@@ -263,6 +300,9 @@
         auto& share = shares_[rest(keys::share)];
         if (value && mark > share.second) share = {parse_shares(*value), mark};
         wake();
+    } else if (key == keys::types && value && mark > stored_types_.second) {
+        stored_types_ = {*value, mark};
+        if (types_.empty()) learn(*value, true);
     } else if (key == keys::leader && value && mark > leader_.mark) {
         leader_ = {wire::text(*value, "node").value_or(""), mark};
         if (led_mark_ != mark) lead_ready_ = false;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -3,6 +3,7 @@
 // workers to the holder of their block or helps them reach it, and, as the leader, leases blocks and deals
 // with the cloud.
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -103,7 +104,9 @@
     Owner* owner(const std::string& domain) const;
     bool leading() const;
     Revision term() const { return leader_.mark; }
-    const std::vector<MachineType>& types() const { return types_; }
+    /// Machine types as the cloud tells them, or as the store has kept them.
+    void learn(const Value& answer, bool stored = false);
+    const std::deque<MachineType>& types() const { return types_; }
     /// Machines that are in no block yet, to be leased soon.
     void lease_machine(const Block::Machine& machine, const std::string& type, const std::string& zone,
                        bool spot, std::function<void()> done);
@@ -123,6 +126,7 @@
     // ---- lifecycle, in controller.cpp
     void tick();
     void fetch_types();
+    void store_types();
     void join();
     void renew();
     void announce();
@@ -224,7 +228,11 @@
     Settings settings_;
     Store store_;
     Fleet fleet_;
-    std::vector<MachineType> types_;
+    std::deque<MachineType> types_;  // machines point to them
+    Value types_answer_;             // as the cloud has told them, null: not yet
+    std::pair<Value, Revision> stored_types_;
+    bool storing_types_ = false;
+    Micros types_stored_at_ = -kSecond * 60;
     Micros started_ = 0;
     std::uint64_t lease_ = 0;
     bool announced_ = false;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -81,14 +81,7 @@
         c.method = "GET";
         c.path = "/machine_types";
         call(std::move(c), 1, [this](const Reply& r) {
-            auto types = r.status == 200 ? wire::parse_types(r.body) : std::nullopt;
-            // Only prices change; machines hold pointers to the types, so they are changed in place.
-            if (types)
-                for (const auto& t : *types)
-                    if (auto* known = const_cast<MachineType*>(controller_.machine_type(t.name))) {
-                        known->price = t.price;
-                        known->spot_price = t.spot_price;
-                    }
+            if (r.status == 200) controller_.learn(r.body);
         });
     }
     for (auto& [name, rental] : rentals_)
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -14,6 +14,7 @@
 namespace keys {
 inline const std::string root = "c/";
 inline const std::string leader = "c/leader";
+inline const std::string types = "c/types";
 inline const std::string live = "c/live/";
 inline const std::string domain = "c/domain/";
 inline const std::string share = "c/share/";
