--- a/src/core/faults.cpp
+++ b/src/core/faults.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr int kFailures = 4;  // on several machines, before a job is taken to be broken
+constexpr int kRounds = 3;    // of one task, wherever it was
 constexpr std::size_t kMaxFailedOn = 64;
 constexpr Micros kFirstTry = 4 * kSecond;  // after that, doubled with each try
 constexpr Micros kLongestTry = 60 * kSecond;
@@ -32,10 +33,13 @@
     ++job.failures;
     if (job.failed_on.size() < kMaxFailedOn) job.failed_on.insert(m.name);
     if (job.held) {
+        if (slot.attempt < job.held_from) return kSecond;  // began with the others
         job.try_after = now + std::min(kFirstTry << std::min(job.tries, 10), kLongestTry);
         ++job.tries;
-    } else if (job.failed_on.size() >= 3 || (job.failed_on.size() == 2 && job.failures >= kFailures)) {
+    } else if (job.failed_on.size() >= 3 || (job.failed_on.size() == 2 && job.failures >= kFailures) ||
+               slot.errors >= kRounds) {
         job.held = true;
+        job.held_from = job.next_attempt;
         job.try_after = now + kFirstTry;
         spdlog::info("job {}: taken to be broken, {} tasks failed on {} machines and none has run",
                      job.spec.ref, job.failures, job.failed_on.size());
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -150,8 +150,9 @@
     bool proven = false;
     std::set<std::string> failed_on;  // machines, while nothing is proven
     int failures = 0;
-    bool held = false;  // taken to be broken: tried with one task at a time
-    int tries = 0;      // since then
+    bool held = false;           // taken to be broken: tried with one task at a time
+    std::int64_t held_from = 0;  // the first attempt made since
+    int tries = 0;               // since then
     Micros try_after = 0;
     bool gang_stopping = false;
     bool gang_done = false;  // one task is done, so all are; each counts until it is proven gone
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -166,6 +166,10 @@
     if (job.spec.kind != JobKind::Gang && hopeless(job)) return false;
     std::vector<Machine*> machines;
     std::vector<Candidate> candidates = candidates_for(job, false, machines);
+    if (candidates.empty() && !job.failed_on.empty()) {  // better where it failed than nowhere
+        job.failed_on.clear();
+        candidates = candidates_for(job, false, machines);
+    }
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
 
     std::map<std::string, int> per_zone = job.zones();
