--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -629,6 +629,7 @@
     const Micros now = context_.host().now();
     if (cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         proved(job);
+        spdlog::debug("task {}/{}: done on {}", job.spec.ref, task, m.name);
         mark_done(job, task);
         if (job.spec.kind == JobKind::Gang) {
             // A gang completes together: if one task is done, all of them are. On a machine that is silent
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -145,7 +145,8 @@
     std::size_t first_idle = 0;         // no task before it waits
     Micros waiting_since = 0;
     bool within_guarantee = false;
-    bool leaving = false;  // being given to another domain: nothing of it is bound
+    bool no_holding_out = false;  // there is nothing to wait for (see Owner::holds_out)
+    bool leaving = false;         // being given to another domain: nothing of it is bound
     /// Whether it can run at all: a task of it has ended well, or has run for a while.
     bool proven = false;
     std::set<std::string> failed_on;  // machines, while nothing is proven
@@ -303,18 +304,22 @@
     void plan();
     bool plan_job(Job& job);
     bool keeps_off(const Job& job, const Machine& m) const;
+    static Micros fetch_time(const Job& job, const Machine& m);
+    bool holds_out(const Job& job) const;
+    bool can_be_late(const Job& job) const;
     bool plan_gang(Job& job, const std::vector<Candidate>& candidates, const std::vector<Machine*>& machines);
     void preempt(Job& job);
     struct Victim {
         Slot* slot;
         Job* job;
         double loss;
+        Micros grace;
     };
     std::optional<double> room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
-                                   std::vector<Victim>& taken) const;
+                                   bool hurries, std::vector<Victim>& taken) const;
     std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
     std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
-                             const std::vector<Machine*>& machines);
+                             const std::vector<Machine*>& machines, bool ready_only);
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
     void drain_noticed(Machine& m);
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
+constexpr double kFetchPenalty = 10;  // a second
 constexpr Micros kIdleEvery = 500 * kMillisecond;
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
 constexpr int kPreemptions = 20;          // in one pass
@@ -55,6 +56,44 @@
     no_room_.push_back({s.spot, s.zone, s.types, s.need});
 }
 
+/// How long a task would wait for its image. Several fetches at a time share a machine's rate.
+Micros Owner::fetch_time(const Job& job, const Machine& m) {
+    int others = 0;
+    for (const auto& image : m.images) {
+        if (image.name == job.spec.image && image.ready) return 0;
+        others += !image.ready && image.name != job.spec.image;
+    }
+    const double rate = m.type && m.type->fetch_gb_per_s > 0 ? m.type->fetch_gb_per_s : 1.0;
+    return static_cast<Micros>(static_cast<double>(job.spec.image_gb) * 1000.0 / rate * (1 + others));
+}
+
+/// Where fetching the image would take longer than the operators' aim allows a service to wait, room is made
+/// on a machine that has it, rather than a fetch begun elsewhere; but for no longer than that can help.
+bool Owner::holds_out(const Job& job) const {
+    if (job.spec.rank != Rank::Production || job.no_holding_out) return false;
+    const auto goals = context_.settings().goals("wait", job.spec.job_class);
+    if (goals.empty()) return false;
+    const Micros waited = context_.host().now() - job.waiting_since;
+    if (waited > goals.front() * 3 / 5) return false;
+    return std::none_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+        const Machine& m = *entry.second;
+        const Micros fetch = fetch_time(job, m);
+        return fetch > 0 && waited + fetch < goals.front() && usable(m) && allowed(job, m) &&
+               job.spec.need.fits(m.type->size - m.booked);
+    });
+}
+
+/// Whether it misses its first aim whatever is done now, and need not hurry for a later one either: then
+/// others of its rank that can still make it go first.
+bool Owner::can_be_late(const Job& job) const {
+    const auto goals = context_.settings().goals("finished", job.spec.job_class);
+    if (goals.empty()) return false;
+    const Micros age = (context_.host().wall_ms() - job.submitted_ms) * kMillisecond;
+    const Micros needs = job.spec.estimate + job.spec.estimate / 3;  // the slowest of several tasks
+    if (age + needs <= goals.front()) return false;
+    return goals.size() == 1 || age + needs < goals.back() * 3 / 4;
+}
+
 /// Machines that it may use but had better not: those it failed on, until something of it has run elsewhere,
 /// and for idle work the ordinary ones, which others may wait for that can use no other.
 bool Owner::keeps_off(const Job& job, const Machine& m) const {
@@ -79,6 +118,9 @@
                 c.has_image = true;
                 c.image_ready = image.ready;
             }
+        // Urgent work without its image starts where that comes soonest.
+        if (job.spec.rank <= Rank::High)
+            c.penalty += kFetchPenalty * static_cast<double>(fetch_time(job, *m)) / 1e6;
         list.push_back(c);
         machines.push_back(m.get());
     }
@@ -89,7 +131,7 @@
 /// image, or at least fetch it already, for urgent work, since a fetch takes longer than anything else in a
 /// start; spot machines, for what may use them, since that leaves the ordinary ones to what may not.
 std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
-                                const std::vector<Machine*>& machines) {
+                                const std::vector<Machine*>& machines, bool ready_only) {
     enum class Image { Any, Fetching, Ready };
     auto pass = [&](Image image, bool spot) {
         std::vector<Candidate> part;
@@ -104,6 +146,7 @@
     // Idle work stays together where its image is, so that one report and one change settle many tasks.
     if (job.spec.rank <= Rank::High || job.spec.rank == Rank::Low)
         order = {Image::Ready, Image::Fetching, Image::Any};
+    if (ready_only) order = {Image::Ready};
     for (const Image image : order) {
         std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
         if (chosen < 0) chosen = pass(image, false);
@@ -137,13 +180,20 @@
                           static_cast<double>(std::max<Milli>(j->spec.need.cores, 1));
         return left / static_cast<double>(std::max<std::int64_t>(now_ms - j->submitted_ms, 0) + 10'000);
     };
-    std::vector<std::pair<double, Job*>> weighed;
-    for (Job* j : order) weighed.emplace_back(weight(j), j);
+    struct Weighed {
+        Job* job;
+        bool late;
+        double weight;
+    };
+    std::vector<Weighed> weighed;
+    for (Job* j : order) weighed.push_back({j, can_be_late(*j), weight(j)});
     std::stable_sort(weighed.begin(), weighed.end(), [&](const auto& a, const auto& b) {
-        return std::tuple(a.second->spec.rank, !a.second->within_guarantee, due(a.second), a.first) <
-               std::tuple(b.second->spec.rank, !b.second->within_guarantee, due(b.second), b.first);
+        auto key = [&](const Weighed& w) {
+            return std::tuple(w.job->spec.rank, !w.job->within_guarantee, due(w.job), w.late, w.weight);
+        };
+        return key(a) < key(b);
     });
-    for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].second;
+    for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].job;
     no_room_.clear();
     spot_machines_ = std::count_if(machines_.begin(), machines_.end(),
                                    [this](const auto& m) { return m.second->spot && usable(*m.second); });
@@ -156,7 +206,8 @@
     const bool preempts = now - preempted_at_ >= kPreemptEvery;
     if (preempts) preempted_at_ = now;
     for (Job* job : order)
-        if (!plan_job(*job) && preempts && !job->held && now - job->waiting_since > kPreemptAfter)
+        if (!plan_job(*job) && preempts && !job->held &&
+            (now - job->waiting_since > kPreemptAfter || job->spec.rank == Rank::Production))
             preempt(*job);
 }
 
@@ -178,6 +229,7 @@
     const std::int64_t attempt = job.next_attempt;
     bool all = true;
     bool tried_relayed = false;
+    const bool ready_only = holds_out(job);
     while (job.first_idle < job.slots.size() && job.slots[job.first_idle].state != SlotState::Idle)
         ++job.first_idle;
     for (std::size_t i = job.first_idle; i < job.slots.size(); ++i) {
@@ -210,9 +262,9 @@
                 if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
                 open.push_back(c);
                 // Replicas are kept apart beyond what the job asks for.
-                if (job.spec.kind == JobKind::Service) open.back().penalty = 25.0 * there;
+                if (job.spec.kind == JobKind::Service) open.back().penalty += 25.0 * there;
             }
-            chosen = place_for(job, open, machines);
+            chosen = place_for(job, open, machines, ready_only);
             if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
             // Better a machine that only others reach than none.
             auto more = candidates_for(job, true, machines);
@@ -220,7 +272,7 @@
             candidates.insert(candidates.end(), more.begin(), more.end());
         }
         if (chosen < 0) {
-            remember_no_room(job);
+            if (!ready_only) remember_no_room(job);
             return false;
         }
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
@@ -310,7 +362,11 @@
     if (job.spec.rank > Rank::High && !reclaims && (job.spec.rank == Rank::Low || !idle_bound_)) return;
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
-    const int most = job.spec.rank == Rank::Production ? job.idle : 1;
+    // Where the operators want the tasks started soon, room is made for all of them.
+    const auto goals = context_.settings().goals("wait", job.spec.job_class);
+    const int most = job.spec.rank == Rank::Production || !goals.empty() ? job.idle : 1;
+    const bool hurries = !goals.empty() && now - job.waiting_since < goals.front();
+    const bool ready_only = holds_out(job);
     for (int waiting = 1; waiting <= most && preemptions_left_ > 0; ++waiting) {
         if (!quota_allows(job, waiting)) return;
         Machine* best = nullptr;
@@ -319,25 +375,29 @@
         for (auto& [name, owned] : machines_) {
             Machine& m = *owned;
             if (!usable(m) || !allowed(job, m)) continue;
+            if (ready_only && fetch_time(job, m) > 0) continue;
             auto used = per_zone.find(m.zone);
             const int there = used == per_zone.end() ? 0 : used->second;
             if (there >= zone_cap || (job.spec.one_zone && !per_zone.empty() && there == 0)) continue;
             std::vector<Victim> taken;
-            const auto lost = room_for(job, m, may_waste, reclaims, taken);
+            const auto lost = room_for(job, m, may_waste, reclaims, hurries, taken);
             if (!lost || (best && *lost >= loss)) continue;
             best = &m;
             loss = *lost;
             victims = std::move(taken);
             if (victims.empty()) break;  // room is being made there already
         }
-        if (!best) return;
+        if (!best) {
+            job.no_holding_out = true;
+            return;
+        }
         claimed_[best] += job.spec.need;
         ++per_zone[best->zone];
         if (!victims.empty()) --preemptions_left_;
         for (const auto& v : victims) {
             spdlog::info("task {}/{}: stopped to make room for {}", v.job->spec.ref,
                          v.slot - v.job->slots.data(), job.spec.ref);
-            stop_slot(*v.slot, v.job->spec.checkpoint > 0 ? v.job->spec.save + kSecond : 0);
+            stop_slot(*v.slot, v.grace);
         }
     }
 }
@@ -345,7 +405,7 @@
 /// What would be lost by making room for one more task on the machine, if that can be done; `taken` tells
 /// what would have to be stopped, nothing if enough is stopping already.
 std::optional<double> Owner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
-                                      std::vector<Victim>& taken) const {
+                                      bool hurries, std::vector<Victim>& taken) const {
     const Micros now = context_.host().now();
     Resources room = m.type->size - m.booked;
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
@@ -367,10 +427,15 @@
                              other->spec.team != job.spec.team;
         if (!lower && !reclaim) continue;
         if (other->spec.kind == JobKind::Service && !reclaim) continue;
-        const double ran = slot.run_since ? static_cast<double>(now - slot.run_since) / 1e6 : 0.0;
-        const double lost = other->spec.checkpoint > 0 ? 2.0 : ran + 1.0;
-        victims.push_back(
-            {&slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0)});
+        // Saving takes its time, in which nothing is done: where less has been done since the last
+        // checkpoint, or somebody can't wait for it, the task exits at once.
+        const Micros ran = slot.run_since ? now - slot.run_since : 0;
+        const Micros saving = other->spec.save + kSecond;
+        const Micros unsaved = other->spec.checkpoint > 0 ? ran % other->spec.checkpoint : ran;
+        const bool saves = other->spec.checkpoint > 0 && !hurries && unsaved > saving;
+        const double lost = static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0;
+        victims.push_back({&slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0),
+                           saves ? saving : 0});
     }
     if (job.spec.need.fits(room)) return 0.0;
     std::sort(victims.begin(), victims.end(),
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -128,8 +128,9 @@
     const std::string ref = spec.ref;
     const std::string domain = domain_for(spec);
     if (domain.empty()) return respond(unavailable());
-    const std::string what =
-        spec.job_class + ", " + std::to_string(spec.tasks) + " tasks for " + spec.team + ", in " + domain;
+    const std::string what = spec.job_class + ", " + std::to_string(spec.tasks) + " tasks of about " +
+                             std::to_string(spec.estimate / kSecond) + " s for " + spec.team + ", in " +
+                             domain;
     Value record{{"s", "queued"},
                  {"dom", domain},
                  {"k", spec.tasks},
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What the platform hands over (one TOML file) and what operators may set themselves (a second one).
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -81,10 +82,13 @@
     double cpu_share = 1;  // of a core
     OperatorSettings ops;
 
-    bool has_objective(const std::string& kind) const {
+    /// The times that the objectives of a kind set for a class, the shortest first.
+    std::vector<Micros> goals(const std::string& kind, const std::string& job_class) const {
+        std::vector<Micros> times;
         for (const auto& o : objectives)
-            if (o.kind == kind) return true;
-        return false;
+            if (o.kind == kind && o.job_class == job_class) times.push_back(o.within);
+        std::sort(times.begin(), times.end());
+        return times;
     }
 };
 
