--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -90,6 +90,7 @@
         if (owner) owner->tick();
     if (now - summed_up_ > kSumUp) {
         summed_up_ = now;
+        std::erase_if(image_seen_, [now](const auto& i) { return now - i.second > 20 * kSumUp; });
         std::string line;
         for (const auto& [purpose, n] : store_.sent()) line += " " + purpose + " " + std::to_string(n);
         spdlog::info("changes sent so far:{}", line);
@@ -328,6 +329,7 @@
             if (auto parsed = wire::parse_job(*spec).spec) {
                 job.team = parsed->team;
                 job.need = parsed->need;
+                job.image = parsed->image;
                 job.spot = parsed->spot;
             }
             job.submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
@@ -336,6 +338,7 @@
         job.record = value;
         job.mark = mark;
         job.domain = wire::text(value, "dom").value_or("");
+        if (view.running > 0) image_seen_[{job.image, job.domain}] = host_.now();
         job.tasks = view.tasks;
         job.done = view.done;
         job.running = view.running;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -85,6 +85,7 @@
         int tasks = 0;
         int done = 0;
         int running = 0;
+        std::string image;
         bool spot = false;
         bool cancelled = false;
         bool held = false;  // its owner takes it to be broken
@@ -268,7 +269,8 @@
     std::set<std::string> share_busy_;
     bool sharing_first_ = false;
     std::map<std::string, LiveJob> live_jobs_;
-    std::set<std::string> guaranteed_;  // jobs within their team's guarantee
+    std::map<std::pair<std::string, std::string>, Micros> image_seen_;  // image and domain: used last
+    std::set<std::string> guaranteed_;                                  // jobs within their team's guarantee
     bool guarantees_due_ = true;
     Micros guarantees_at_ = 0;
     std::map<std::string, std::unique_ptr<Owner>> owners_;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
+constexpr Micros kLasting = 30 * kSecond;  // a start that is stopped sooner does not count for its user
+constexpr double kShortStart = 10;
 constexpr double kFetchPenalty = 10;  // a second
 constexpr Micros kIdleEvery = 500 * kMillisecond;
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
@@ -433,7 +435,9 @@
         const Micros saving = other->spec.save + kSecond;
         const Micros unsaved = other->spec.checkpoint > 0 ? ran % other->spec.checkpoint : ran;
         const bool saves = other->spec.checkpoint > 0 && !hurries && unsaved > saving;
-        const double lost = static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0;
+        // A start that does not last is none for its user.
+        const double lost =
+            static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0 + (ran < kLasting ? kShortStart : 0.0);
         victims.push_back({&slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0),
                            saves ? saving : 0});
     }
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kManyPolls = 2000;
 constexpr unsigned kPollSpread = 4;
 constexpr Micros kUnserved = 3 * kSecond;
+constexpr Micros kImageLasts = 300 * kSecond;
 constexpr double kOursFirst = 0.05;  // share of a domain's cores
 
 std::string_view stage_name(const JobView& v) {
@@ -332,8 +333,13 @@
             room = load->free_ordinary + (spec.spot ? load->free_spot : 0) - load->waiting;
         }
         if (auto sent = sent_to_.find(name); sent != sent_to_.end() && !owner(name)) room -= sent->second;
-        const double share = static_cast<double>(room) / static_cast<double>(of) +
-                             (d.holder == settings_.node ? kOursFirst : 0.0);
+        double share = static_cast<double>(room) / static_cast<double>(of) +
+                       (d.holder == settings_.node ? kOursFirst : 0.0);
+        // Urgent work goes where its image has been lately, if there is room for all of it.
+        if (auto seen = image_seen_.find({spec.image, name}); spec.rank <= Rank::High && room >= need &&
+                                                              seen != image_seen_.end() &&
+                                                              host_.now() - seen->second < kImageLasts)
+            share += 1.0;
         if (!best.empty() && share <= best_room) continue;
         best = name;
         best_room = share;
