--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -539,6 +539,7 @@
     ++part.binding;
     part.bytes += binding_bytes(m);
     m.booked += job.spec.need;
+    if (job.spec.rank == Rank::Low) m.idle_work += job.spec.need.cores;
     m.tasks.insert({&job, task});
     usage_[job.spec.team] += job.spec.need;
     remember_image(m, job, false);
@@ -551,6 +552,7 @@
     if (slot.state == SlotState::Binding) --part.binding;
     part.bytes -= binding_bytes(m);
     m.booked -= job.spec.need;
+    if (job.spec.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
     m.tasks.erase({&job, task});
     forget_fetch(m, job);
     if (m.tasks.empty()) m.idle_since = context_.host().listened();
@@ -1114,7 +1116,8 @@
         d.capacity += m->type->size.cores;
         if (!m->spot) d.ordinary += m->type->size.cores;
         if (!usable(*m)) continue;
-        (m->spot ? d.free_spot : d.free_ordinary) += m->type->size.cores - m->booked.cores;
+        // Idle work gives way to everything else.
+        (m->spot ? d.free_spot : d.free_ordinary) += m->type->size.cores - m->booked.cores + m->idle_work;
         if (m->tasks.empty()) (m->spot ? d.idle_spot : d.idle_ordinary) += m->type->size.cores;
     }
     std::map<std::string, Resources> waiting;
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -66,6 +66,7 @@
     bool notice = false;
     Micros notice_end = 0;
     Resources booked;
+    Milli idle_work = 0;  // cores of these that work of idle rank has
     std::set<TaskRef> tasks;
     std::vector<ReportedTask> exited;
     std::vector<ReportedTask> strays;
@@ -304,6 +305,7 @@
     void plan();
     bool plan_job(Job& job);
     bool keeps_off(const Job& job, const Machine& m) const;
+    void weigh_idle_room();
     static Micros fetch_time(const Job& job, const Machine& m);
     bool holds_out(const Job& job) const;
     bool can_be_late(const Job& job) const;
@@ -365,6 +367,9 @@
     int preemptions_left_ = 0;
     RateBudget idle_starts_;  // starts of idle work, which must not take the time that others need
     Micros idle_planned_at_ = 0;
+    Milli idle_room_ = 0;  // cores that idle work may still take in the current pass
+    double peak_use_ = 0;  // of cores by other work, where idle work may run
+    Micros peak_use_at_ = 0;
     std::ptrdiff_t spot_machines_ = 0;
     bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -1,6 +1,7 @@
 // The owner's planning: who goes first, the five steps for each task, and room made by preemption.
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -13,7 +14,8 @@
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
 constexpr Micros kLasting = 30 * kSecond;  // a start that is stopped sooner does not count for its user
 constexpr double kShortStart = 10;
-constexpr double kFetchPenalty = 10;  // a second
+constexpr Micros kForgetUse = 60 * kSecond;  // a peak of use halves in this time
+constexpr double kFetchPenalty = 10;         // a second
 constexpr Micros kIdleEvery = 500 * kMillisecond;
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
 constexpr int kPreemptions = 20;          // in one pass
@@ -85,6 +87,28 @@
     });
 }
 
+/// Idle work takes what other work has not used lately, so that a burst of that finds room at once. On spot
+/// machines only, where there are any: others may wait for the ordinary ones that can use no other.
+void Owner::weigh_idle_room() {
+    const Micros now = context_.host().now();
+    spot_machines_ = std::count_if(machines_.begin(), machines_.end(),
+                                   [this](const auto& m) { return m.second->spot && usable(*m.second); });
+    Milli size = 0, used = 0, idle = 0;
+    for (const auto& [name, m] : machines_) {
+        if (!usable(*m) || (spot_machines_ > 0 && !m->spot)) continue;
+        size += m->type->size.cores;
+        used += m->booked.cores - m->idle_work;
+        idle += m->idle_work;
+    }
+    for (const auto& [ref, job] : jobs_)
+        if (job->spec.spot || spot_machines_ == 0) used += job->spec.need.cores * job->waiting();
+    const auto passed = static_cast<double>(peak_use_at_ > 0 ? now - peak_use_at_ : 0);
+    peak_use_at_ = now;
+    peak_use_ = std::max(static_cast<double>(std::min(used, size)),
+                         peak_use_ * std::exp2(-passed / static_cast<double>(kForgetUse)));
+    idle_room_ = size - static_cast<Milli>(peak_use_) - idle;
+}
+
 /// Whether it misses its first aim whatever is done now, and need not hurry for a later one either: then
 /// others of its rank that can still make it go first.
 bool Owner::can_be_late(const Job& job) const {
@@ -197,8 +221,7 @@
     });
     for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].job;
     no_room_.clear();
-    spot_machines_ = std::count_if(machines_.begin(), machines_.end(),
-                                   [this](const auto& m) { return m.second->spot && usable(*m.second); });
+    if (idle_turn) weigh_idle_room();
     idle_bound_ = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
         return j.second->spec.rank == Rank::Low && j.second->bound > 0;
     });
@@ -252,7 +275,10 @@
             missing.cards += job.spec.need.cards * job.idle;
             return true;
         }
-        if (job.spec.rank == Rank::Low && idle_starts_.take(now, 1) > 0) return true;
+        if (job.spec.rank == Rank::Low) {
+            if (idle_room_ < job.spec.need.cores || idle_starts_.take(now, 1) > 0) return true;
+            idle_room_ -= job.spec.need.cores;
+        }
         std::ptrdiff_t chosen = -1;
         for (;;) {
             std::vector<Candidate> open;
@@ -366,7 +392,9 @@
     const int zone_cap = job.zone_cap();
     // Where the operators want the tasks started soon, room is made for all of them.
     const auto goals = context_.settings().goals("wait", job.spec.job_class);
-    const int most = job.spec.rank == Rank::Production || !goals.empty() ? job.idle : 1;
+    // Stopping idle work costs next to nothing.
+    const bool idle_only = job.spec.rank > Rank::High && !reclaims;
+    const int most = job.spec.rank == Rank::Production || !goals.empty() || idle_only ? job.idle : 1;
     const bool hurries = !goals.empty() && now - job.waiting_since < goals.front();
     const bool ready_only = holds_out(job);
     for (int waiting = 1; waiting <= most && preemptions_left_ > 0; ++waiting) {
@@ -387,7 +415,7 @@
             best = &m;
             loss = *lost;
             victims = std::move(taken);
-            if (victims.empty()) break;  // room is being made there already
+            if (victims.empty() || idle_only) break;  // room is being made there already, or costs nothing
         }
         if (!best) {
             job.no_holding_out = true;
