--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
 constexpr std::size_t kUsualBinding = 22;
 constexpr Micros kDefer = 1'500 * kMillisecond;  // done tasks of a job that goes on are written together
+constexpr Micros kGatherShort = 150 * kMillisecond;
+constexpr Micros kGatherLong = 500 * kMillisecond;
+constexpr Micros kAdmitPatience = 1'500 * kMillisecond;  // then the user had better come back
 constexpr Micros kPlanEvery = 20 * kMillisecond;
 constexpr Micros kIdlePatience = 3 * kSecond;      // of binds of idle work, before they compete with others
 constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
@@ -53,6 +56,9 @@
 
 Owner::~Owner() {
     *alive_ = false;
+    // What of these is durable is in the store; whoever asked looks there.
+    for (auto& [ref, job] : jobs_)
+        if (job->admitting) job->admitting({CommitStatus::Unknown, 0, {}});
 }
 
 Job* Owner::find_job(const std::string& ref) const {
@@ -209,6 +215,35 @@
     context_.wake();
 }
 
+void Owner::admit(JobSpec spec, std::int64_t submitted_ms, std::function<void(const Admission&)> done) {
+    const std::string ref = spec.ref;
+    if (find_job(ref)) return done({CommitStatus::Unknown, 0, {}});
+    auto job = std::make_unique<Job>();
+    job->spec = std::move(spec);
+    job->serial = next_serial_++;
+    job->submitted_ms = submitted_ms;
+    job->waiting_since = context_.host().now();
+    job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
+    job->idle = job->spec.tasks;
+    job->part_tasks = part_tasks_for(
+        context_.settings().value_bytes,
+        part_value(*job, 0, false).dump(-1, ' ', false, Value::error_handler_t::replace).size());
+    job->parts.resize((job->slots.size() + job->part_tasks - 1) / job->part_tasks);
+    job->admitting = std::move(done);
+    touch(*job, 0);
+    jobs_.emplace(ref, std::move(job));
+    plan_due_ = true;
+    planned_at_ = 0;  // what finds room now is bound by the change that admits it
+    context_.wake();
+}
+
+/// Nothing of it is durable, or nobody knows (then its record is read): nothing of it was launched.
+void Owner::not_admitted(Job& job, CommitStatus status) {
+    auto done = std::exchange(job.admitting, nullptr);
+    given_away(job);
+    if (done) done({status, 0, {}});
+}
+
 void Owner::on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) {
     Job* job = find_job(ref);
     if (!job || part == 0 || part >= job->parts.size()) return;
@@ -279,7 +314,7 @@
 }
 
 Value Owner::part_value(const Job& job, std::size_t part, bool final_record) const {
-    const std::size_t first = part * job.part_tasks;
+    const std::size_t first = std::min(part * job.part_tasks, job.slots.size());
     const std::size_t last = std::min(job.slots.size(), first + job.part_tasks);
     Value v = Value::object();
     if (part == 0) {
@@ -352,6 +387,19 @@
             it = dirty_.erase(it);
             continue;
         }
+        if (job->admitting) {
+            auto& part = job->parts[0];
+            if (!part.in_flight && !part.reloading) {
+                if (now - part.dirty_since > kAdmitPatience) {
+                    it = dirty_.erase(it);
+                    not_admitted(*job, CommitStatus::Unavailable);
+                    continue;
+                }
+                list.push_back({Priority::Urgent, part.dirty_since, job, 0});
+            }
+            ++it;
+            continue;
+        }
         // The final record speaks for all parts, so nothing else is written any more.
         const bool over = job->over();
         bool left = false;
@@ -371,7 +419,7 @@
                 if (part.in_flight || part.reloading || now < part.not_before) continue;
                 // Each part is written on the condition that the job's record stays as it is.
                 if (p == 0 ? busy : job->parts[0].in_flight || job->parts[0].reloading) continue;
-                if (part.binding == 0 && now - part.dirty_since < kDefer) continue;
+                if (now - part.dirty_since < gathers(*job, part.binding > 0)) continue;
                 const bool can_wait = job->spec.rank == Rank::Low && now - part.dirty_since < kIdlePatience;
                 const Priority priority = part.binding == 0 || can_wait  ? Priority::Deferrable
                                           : job->spec.rank <= Rank::High ? Priority::Urgent
@@ -390,6 +438,16 @@
     }
 }
 
+/// How long changes of a part are gathered before they are written as one: the scarcer changes are, the
+/// longer, but not what the operators want started soon.
+Micros Owner::gathers(const Job& job, bool binds) const {
+    const double level = context_.store().level();
+    if (!binds) return level < 0.5 ? 2 * kDefer : kDefer;
+    if (job.spec.rank == Rank::Production || !context_.settings().goals("wait", job.spec.job_class).empty())
+        return 0;
+    return level < 0.3 ? kGatherLong : level < 0.6 ? kGatherShort : 0;
+}
+
 void Owner::write_part(Job& job, std::size_t index, Priority priority) {
     const std::string ref = job.spec.ref;
     auto& part = job.parts[index];
@@ -410,17 +468,18 @@
             binding.push_back({ref, static_cast<int>(i), job.slots[i].attempt});
         if (job.slots[i].state == SlotState::DonePending) done.push_back(static_cast<int>(i));
     }
-    change.then.push_back({part_key(ref, index), std::move(value)});
-    change.purpose = final_record ? "over" : binding.empty() ? "done" : "bind";
+    change.then.push_back({part_key(ref, index), value});
+    change.purpose = job.admitting ? "admit" : final_record ? "over" : binding.empty() ? "done" : "bind";
     part.dirty = false;
     part.in_flight = true;
-    context_.store().commit(std::move(change), [this, alive = alive_, ref, index, final_record, binding,
-                                                done](const CommitResult& result) {
-        if (*alive) written(ref, index, final_record, binding, done, result);
+    if (!job.admitting) value = nullptr;  // only that one is asked for
+    context_.store().commit(std::move(change), [this, alive = alive_, ref, index, value = std::move(value),
+                                                final_record, binding, done](const CommitResult& result) {
+        if (*alive) written(ref, index, value, final_record, binding, done, result);
     });
 }
 
-void Owner::written(const std::string& ref, std::size_t index, bool final_record,
+void Owner::written(const std::string& ref, std::size_t index, const Value& value, bool final_record,
                     const std::vector<AttemptKey>& binding, const std::vector<int>& done,
                     const CommitResult& result) {
     Job* job = find_job(ref);
@@ -447,11 +506,15 @@
             return drop_job(ref);
         }
         dirty_.insert(ref);
+        if (auto admitted = std::exchange(job->admitting, nullptr))
+            admitted({CommitStatus::Ok, result.revision, value});
         return;
     }
     if (result.status == CommitStatus::Conflict &&
         std::find(result.failed.begin(), result.failed.end(), keys::domain + domain_) != result.failed.end())
         return context_.ousted(domain_);
+    if (job->admitting && result.status != CommitStatus::Unknown) return not_admitted(*job, result.status);
+    if (auto unclear = std::exchange(job->admitting, nullptr)) unclear({CommitStatus::Unknown, 0, {}});
     if (result.status == CommitStatus::Unavailable) {
         p.not_before = context_.host().now() + 150 * kMillisecond;
         return touch(*job, index);
@@ -496,6 +559,8 @@
 /// The record names another owner. Binds of ours that wait to be written fail on its mark, so they were never
 /// launched; there are no others, since only jobs that were never bound are given away.
 void Owner::given_away(Job& job) {
+    // Admitted by another controller meanwhile.
+    if (auto asked = std::exchange(job.admitting, nullptr)) asked({CommitStatus::Conflict, 0, {}});
     for (auto& slot : job.slots)
         if (slot.state == SlotState::Binding || slot.state == SlotState::Bound) set_idle(job, slot);
     jobs_.erase(std::string(job.spec.ref));
@@ -505,6 +570,7 @@
     auto it = jobs_.find(ref);
     if (it == jobs_.end()) return;
     Job& job = *it->second;
+    if (auto asked = std::exchange(job.admitting, nullptr)) asked({CommitStatus::Conflict, 0, {}});
     for (std::size_t i = 0; i < job.slots.size(); ++i) {
         auto state = job.slots[i].state;
         if (state == SlotState::Binding || state == SlotState::Bound) gone(job, static_cast<int>(i), 0);
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -135,6 +135,13 @@
 
 enum class Stage : std::uint8_t { Queued, Done, Cancelled };
 
+/// How the admission of a job went: with the record if it is durable now.
+struct Admission {
+    CommitStatus status = CommitStatus::Unavailable;
+    Revision revision = 0;
+    Value record;
+};
+
 struct Job {
     JobSpec spec;
     std::uint64_t serial = 0;
@@ -173,6 +180,9 @@
     std::size_t part_tasks = 64;
     std::vector<Part> parts;
 
+    /// Set while the record that admits the job is not durable yet: told how that went.
+    std::function<void(const Admission&)> admitting;
+
     /// Tasks that wait for room. Those of a job that is taken to be broken don't, and idle work takes what is
     /// left over: neither moves machines or shares, or keeps other jobs away.
     int waiting() const { return stage == Stage::Queued && !held && spec.rank != Rank::Low ? idle : 0; }
@@ -231,6 +241,9 @@
     void on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark);
     void activate();
 
+    /// Admits a new job, with the first binds of its tasks in the same change where there is room for them.
+    void admit(JobSpec spec, std::int64_t submitted_ms, std::function<void(const Admission&)> done);
+
     /// The orders to answer a report with, or nothing if it must not be answered.
     struct Answer {
         std::uint64_t token = 0;
@@ -299,6 +312,8 @@
     void cancel(Job& job);
     void settle_gang(Job& job);
     void drop_job(const std::string& ref);
+    void not_admitted(Job& job, CommitStatus status);
+    Micros gathers(const Job& job, bool binds) const;
     void given_away(Job& job);
     Job* find_job(const std::string& ref) const;
 
@@ -329,7 +344,7 @@
     void touch(Job& job, std::size_t part);
     void flush_jobs();
     void write_part(Job& job, std::size_t part, Priority priority);
-    void written(const std::string& ref, std::size_t part, bool final_record,
+    void written(const std::string& ref, std::size_t part, const Value& value, bool final_record,
                  const std::vector<AttemptKey>& binding, const std::vector<int>& done,
                  const CommitResult& result);
     void reload(const std::string& ref, std::size_t part);
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kManyPolls = 2000;
 constexpr unsigned kPollSpread = 4;
 constexpr Micros kUnserved = 3 * kSecond;
+constexpr std::size_t kRecordBytes = 80;  // of a job's record besides its description
 constexpr Micros kImageLasts = 300 * kSecond;
 constexpr double kOursFirst = 0.05;  // share of a domain's cores
 
@@ -126,31 +127,20 @@
     if (!store_.reachable()) return respond(unavailable());
     // Names of types that don't exist would only fill the record.
     if (spec.types) std::erase_if(*spec.types, [&](const std::string& t) { return !machine_type(t); });
+    const std::size_t size =
+        wire::job_value(spec).dump(-1, ' ', false, Value::error_handler_t::replace).size();
+    if (size > settings_.value_bytes * 3 / 4) return respond({400, Value{{"error", "too long"}}});
     const std::string ref = spec.ref;
     const std::string domain = domain_for(spec);
     if (domain.empty()) return respond(unavailable());
     const std::string what = spec.job_class + ", " + std::to_string(spec.tasks) + " tasks of about " +
                              std::to_string(spec.estimate / kSecond) + " s for " + spec.team + ", in " +
                              domain;
-    Value record{{"s", "queued"},
-                 {"dom", domain},
-                 {"k", spec.tasks},
-                 {"d", wire::job_value(spec)},
-                 {"at", host_.wall_ms()}};
-    record["ps"] = part_tasks_for(settings_.value_bytes,
-                                  record.dump(-1, ' ', false, Value::error_handler_t::replace).size());
-    if (record.dump(-1, ' ', false, Value::error_handler_t::replace).size() > settings_.value_bytes * 3 / 4)
-        return respond({400, Value{{"error", "too long"}}});
-    Change change;
-    change.when.push_back({keys::job + ref, 0});
-    change.then.push_back({keys::job + ref, record});
-    change.priority = Priority::Urgent;
-    change.purpose = "admit";
-    store_.commit(std::move(change), [this, ref, record, what, asked = host_.now(),
-                                      respond = std::move(respond)](const CommitResult& r) mutable {
-        switch (r.status) {
+    auto answer = [this, ref, what, asked = host_.now(),
+                   respond = std::move(respond)](const Admission& a) mutable {
+        switch (a.status) {
             case CommitStatus::Ok:
-                apply(keys::job + ref, &record, r.revision);
+                apply(keys::job + ref, &a.record, a.revision);
                 spdlog::info("job {}: accepted in {} ms: {}", ref, (host_.now() - asked) / kMillisecond,
                              what);
                 return respond({201, wire::job_answer(ref, "pending")});
@@ -164,6 +154,19 @@
             case CommitStatus::Rejected:
                 return respond(unavailable());
         }
+    };
+    // In a domain of ours the change that admits the job binds its tasks as well.
+    if (Owner* o = owner(domain); o && o->active()) return o->admit(std::move(spec), host_.wall_ms(), answer);
+    Value record{{"s", "queued"},         {"dom", domain},
+                 {"k", spec.tasks},       {"d", wire::job_value(spec)},
+                 {"at", host_.wall_ms()}, {"ps", part_tasks_for(settings_.value_bytes, size + kRecordBytes)}};
+    Change change;
+    change.when.push_back({keys::job + ref, 0});
+    change.then.push_back({keys::job + ref, record});
+    change.priority = Priority::Urgent;
+    change.purpose = "admit";
+    store_.commit(std::move(change), [answer = std::move(answer), record](const CommitResult& r) mutable {
+        answer({r.status, r.revision, record});
     });
 }
 
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -110,6 +110,8 @@
     /// Whether a change of this priority would go out about now. Asked before a record is put together, so
     /// that what has to wait is written once, as it is then.
     bool room(Priority priority);
+    /// What is left of a second's changes of all controllers, as far as we can tell, as a share.
+    double level() { return writes_.level(host_.now()); }
 
     /// When the service last answered a request with anything but 503 or 429.
     Micros last_contact() const { return last_contact_; }
