--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -20,6 +20,7 @@
 // must be left for bursts, users and the loss of others.
 constexpr double kReportsPerCore = 400;
 constexpr Micros kReturnPatience = 1'500 * kMillisecond;  // of returns, so that one change does for many
+constexpr Micros kReturnLatest = 20 * kSecond;
 constexpr Micros kRetry = 300 * kMillisecond;
 
 /// What of a limit is stored in shares; what has no limit needs none.
@@ -121,7 +122,9 @@
 void Controller::edit_block(const std::string& id, BlockEdit edit, Micros patience) {
     BlockEdits& edits = edits_[id];
     const Micros by = host_.now() + patience;
+    if (edits.waiting.empty()) edits.since = host_.now();
     if (edits.waiting.empty() || by < edits.due) edits.due = by;
+    edits.urgent = patience == 0 || (edits.urgent && !edits.waiting.empty());
     edits.waiting.push_back(std::move(edit));
 }
 
@@ -156,7 +159,10 @@
         change.when.push_back({keys::leader, leader_.mark});
     else
         return finish(std::exchange(edits.waiting, {}), false);
-    if (!store_.room(Priority::Normal)) return;
+    // Returns can wait for quiet moments, though not for ever.
+    const bool waits = !edits.urgent && host_.now() - edits.since < kReturnLatest;
+    change.priority = waits ? Priority::Deferrable : Priority::Normal;
+    if (!store_.room(change.priority)) return;
     change.when.push_back({keys::block + id, next.mark});
     const Value value = next.machines.empty() ? Value() : next.value();
     change.then.push_back({keys::block + id, value});
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -165,6 +165,8 @@
         bool in_flight = false;
         Micros not_before = 0;
         Micros due = 0;
+        Micros since = 0;
+        bool urgent = false;
     };
     struct Unleased {
         Block::Machine machine;
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t kMaxImages = 64;
 constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
 constexpr std::size_t kUsualBinding = 22;
-constexpr Micros kDefer = 1'500 * kMillisecond;  // done tasks of a job that goes on are written together
+// Done tasks of a job that goes on are written together: until then their workers keep the results.
+constexpr Micros kDefer = 4 * kSecond;
 constexpr Micros kGatherShort = 150 * kMillisecond;
 constexpr Micros kGatherLong = 500 * kMillisecond;
 constexpr Micros kAdmitPatience = 1'500 * kMillisecond;  // then the user had better come back
