--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -203,7 +203,8 @@
     const std::int64_t now_ms = context_.host().wall_ms();
     auto weight = [&](const Job* j) {
         const auto left = static_cast<double>(j->idle + j->bound) *
-                          static_cast<double>(std::max<Milli>(j->spec.need.cores, 1));
+                          static_cast<double>(std::max<Milli>(j->spec.need.cores, 1)) *
+                          static_cast<double>(std::max<Micros>(j->spec.estimate, kSecond)) / 1e6;
         return left / static_cast<double>(std::max<std::int64_t>(now_ms - j->submitted_ms, 0) + 10'000);
     };
     struct Weighed {
