--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -20,6 +20,7 @@
 // must be left for bursts, users and the loss of others.
 constexpr double kReportsPerCore = 400;
 constexpr Micros kReturnPatience = 1'500 * kMillisecond;  // of returns, so that one change does for many
+constexpr Micros kForgetPatience = 500 * kMillisecond;    // what was on them is in doubt until then
 constexpr Micros kReturnLatest = 20 * kSecond;
 constexpr Micros kRetry = 300 * kMillisecond;
 
@@ -124,7 +125,7 @@
     const Micros by = host_.now() + patience;
     if (edits.waiting.empty()) edits.since = host_.now();
     if (edits.waiting.empty() || by < edits.due) edits.due = by;
-    edits.urgent = patience == 0 || (edits.urgent && !edits.waiting.empty());
+    edits.urgent = patience < kReturnPatience || (edits.urgent && !edits.waiting.empty());
     edits.waiting.push_back(std::move(edit));
 }
 
@@ -191,6 +192,8 @@
     const Block* block = block_of(machine);
     const Owner* o = owner(domain);
     if (!block || block->domain != domain || !o) return host_.after(0, [done] { done(false); });
+    if (edit == MachineEdit::RetireNow)
+        return edit_block(block->id, {retire_in(machine), std::move(done)}, 0);
     if (edit == MachineEdit::Retire)
         return edit_block(block->id, {retire_in(machine), std::move(done)}, kReturnPatience);
     // Its own next mark is higher than every token that anyone holds now.
@@ -225,7 +228,7 @@
                                }) > 0;
                     },
                     nullptr},
-                   kReturnPatience);
+                   kForgetPatience);
 }
 
 // ---------------------------------------------------------------- leasing
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -284,8 +284,8 @@
         const Micros silent = owner.silent_for(*m);
         if (m->tasks.empty() && now - holding_since_ > s.lease && silent > s.lease + kSilent) {
             owner.retire(name, "it is silent");
-        } else if (m->notice && now > m->notice_end + 10 * kSecond && m->tasks.empty() &&
-                   silent > 5 * kSecond) {
+        } else if (m->notice && now > m->notice_end + 2 * kSecond &&
+                   silent > s.report_every * 5 / 4 + kSecond) {
             owner.retire(name, "it was taken");
         } else if (m->error_jobs.size() >= 3 && m->tasks.empty()) {
             owner.retire(name, "tasks of several jobs fail on it");
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kGatherLong = 500 * kMillisecond;
 constexpr Micros kAdmitPatience = 1'500 * kMillisecond;  // then the user had better come back
 constexpr Micros kPlanEvery = 20 * kMillisecond;
-constexpr Micros kIdlePatience = 3 * kSecond;      // of binds of idle work, before they compete with others
+constexpr Micros kIdlePatience = 60 * kSecond;     // of binds of idle work, before they compete with others
 constexpr Micros kProbeEvery = 5 * kSecond;        // of workers whose reports are relayed
 constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
 // Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
@@ -396,7 +396,8 @@
                     not_admitted(*job, CommitStatus::Unavailable);
                     continue;
                 }
-                list.push_back({Priority::Urgent, part.dirty_since, job, 0});
+                const Priority priority = job->spec.rank == Rank::Low ? Priority::Normal : Priority::Urgent;
+                list.push_back({priority, part.dirty_since, job, 0});
             }
             ++it;
             continue;
@@ -770,7 +771,8 @@
             slot->seen = true;
             slot->launch_sent = true;
             if (slot->phase != Phase::Running && t.phase == Phase::Running) {
-                slot->run_since = now;
+                // What an earlier holder has begun has run for some time, nobody knows for how long.
+                slot->run_since = slot->foreign ? now - job->spec.estimate / 2 : now;
                 spdlog::debug("task {}/{}: runs on {}", t.job, t.task, m.name);
                 remember_image(m, *job, true);
             }
@@ -861,6 +863,8 @@
     auto it = machines_.find(report.machine);
     if (it == machines_.end()) return std::nullopt;
     Machine& m = *it->second;
+    // Its new holder may reach it before the outcome of the move reaches us.
+    if (report.token > token(m) && m.leaving) return std::nullopt;
     if (report.token > token(m)) {
         spdlog::info("machine {} has seen a higher token than ours", report.machine);
         context_.ousted(domain_);
@@ -1006,7 +1010,7 @@
         x.direct_backoff = 0;
         x.direct_after = 0;
         x.direct_ok = context_.host().now();
-        if (report->token > token(x)) return context_.ousted(domain_);
+        if (report->token > token(x)) return x.leaving ? void() : context_.ousted(domain_);
         if (active_)
             absorb(x, *report, false);
         else
@@ -1081,7 +1085,10 @@
     if (it == machines_.end() || it->second->retiring || it->second->retired) return;
     it->second->retiring = true;
     spdlog::info("machine {}: to be returned: {}", machine, why);
-    context_.edit_machine(domain_, machine, OwnerContext::MachineEdit::Retire,
+    // Its deletion ends the doubt about what is on it.
+    const bool urgent = !it->second->tasks.empty();
+    context_.edit_machine(domain_, machine,
+                          urgent ? OwnerContext::MachineEdit::RetireNow : OwnerContext::MachineEdit::Retire,
                           [this, alive = alive_, machine](bool) {
                               if (!*alive) return;
                               auto found = machines_.find(machine);
@@ -1156,16 +1163,22 @@
     send_orders();
 }
 
-/// Work that can save itself is stopped in time on a machine that will be taken.
+/// On a machine that will be taken, work that can save itself is stopped in time, and so is what will hardly
+/// be done before: it starts elsewhere now, instead of being in doubt once the machine is silent.
 void Owner::drain_noticed(Machine& m) {
+    const Micros now = context_.host().now();
+    const Micros left = std::max<Micros>(m.notice_end - now, 0);
     for (const auto& [job, task] : std::set(m.tasks)) {
         Slot& slot = job->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound || slot.stop) continue;
+        const Micros ran = slot.run_since > 0 ? now - slot.run_since : 0;
         if (job->spec.kind == JobKind::Gang) {
             for (auto& s : job->slots)
                 if (s.state == SlotState::Bound) stop_slot(s, job->spec.save + kSecond);
         } else if (job->spec.kind == JobKind::Service || job->spec.checkpoint > 0) {
             stop_slot(slot, job->spec.save + kSecond);
+        } else if (job->spec.estimate * 4 / 5 - ran > left) {
+            stop_slot(slot, 0);
         }
     }
 }
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -153,6 +153,7 @@
     std::size_t first_idle = 0;         // no task before it waits
     Micros waiting_since = 0;
     bool within_guarantee = false;
+    Micros idle_turn = 0;         // when idle work is bound again
     bool no_holding_out = false;  // there is nothing to wait for (see Owner::holds_out)
     bool leaving = false;         // being given to another domain: nothing of it is bound
     /// Whether it can run at all: a task of it has ended well, or has run for a while.
@@ -219,7 +220,7 @@
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
 
-    enum class MachineEdit { Raise, Retire };
+    enum class MachineEdit { Raise, Retire, RetireNow };
     /// Rewrites the block record that lists the machine; the outcome arrives as news of the record.
     virtual void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
                               std::function<void(bool)> done) = 0;
@@ -321,6 +322,7 @@
     bool plan_job(Job& job);
     bool keeps_off(const Job& job, const Machine& m) const;
     void weigh_idle_room();
+    static Micros idle_pause(const Job& job);
     static Micros fetch_time(const Job& job, const Machine& m);
     bool holds_out(const Job& job) const;
     bool can_be_late(const Job& job) const;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
 constexpr Micros kLasting = 30 * kSecond;  // a start that is stopped sooner does not count for its user
+constexpr Micros kIdleLong = 8 * kSecond;
 constexpr double kShortStart = 10;
 constexpr Micros kForgetUse = 60 * kSecond;  // a peak of use halves in this time
 constexpr double kFetchPenalty = 10;         // a second
@@ -190,7 +191,7 @@
     for (auto& [ref, job] : jobs_) {
         if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
         if (job->held && (now < job->try_after || job->bound > 0)) continue;
-        if (job->spec.rank == Rank::Low && !idle_turn) continue;
+        if (job->spec.rank == Rank::Low && (!idle_turn || now < job->idle_turn)) continue;
         job->within_guarantee = context_.within_guarantee(ref);
         order.push_back(job.get());
     }
@@ -237,6 +238,12 @@
             preempt(*job);
 }
 
+/// Idle work of long tasks is bound the more seldom: each bind costs a change, and what was just stopped to
+/// make room is likely to be stopped again.
+Micros Owner::idle_pause(const Job& job) {
+    return std::clamp(job.spec.estimate / 20, kIdleEvery, kIdleLong);
+}
+
 /// True if nothing is left to place.
 bool Owner::plan_job(Job& job) {
     const Micros now = context_.host().now();
@@ -248,6 +255,7 @@
         candidates = candidates_for(job, false, machines);
     }
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
+    if (job.spec.rank == Rank::Low) job.idle_turn = now + idle_pause(job);
 
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -155,6 +155,7 @@
                 return respond(unavailable());
         }
     };
+    const bool idle = spec.rank == Rank::Low;
     // In a domain of ours the change that admits the job binds its tasks as well.
     if (Owner* o = owner(domain); o && o->active()) return o->admit(std::move(spec), host_.wall_ms(), answer);
     Value record{{"s", "queued"},         {"dom", domain},
@@ -163,7 +164,7 @@
     Change change;
     change.when.push_back({keys::job + ref, 0});
     change.then.push_back({keys::job + ref, record});
-    change.priority = Priority::Urgent;
+    change.priority = idle ? Priority::Normal : Priority::Urgent;
     change.purpose = "admit";
     store_.commit(std::move(change), [answer = std::move(answer), record](const CommitResult& r) mutable {
         answer({r.status, r.revision, record});
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -75,7 +75,11 @@
 
 bool Store::room(Priority priority) {
     const Micros now = host_.now();
-    if (write_queue_.size() >= kRoomQueue || now < write_queue_.pause_until) return false;
+    // What is less urgent and waits for quiet moments keeps nobody waiting.
+    std::size_t ahead = 0;
+    for (std::size_t p = 0; p <= static_cast<std::size_t>(priority); ++p)
+        ahead += write_queue_.pending[p].size();
+    if (ahead >= kRoomQueue || now < write_queue_.pause_until) return false;
     if (priority != Priority::Deferrable && fair_.left(now) >= 1) return true;
     return writes_.level(now) > kReserve[static_cast<std::size_t>(priority)];
 }
