--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -323,6 +323,7 @@
     bool keeps_off(const Job& job, const Machine& m) const;
     void weigh_idle_room();
     static Micros idle_pause(const Job& job);
+    bool spoils(const Job& job, Micros ran) const;
     static Micros fetch_time(const Job& job, const Machine& m);
     bool holds_out(const Job& job) const;
     bool can_be_late(const Job& job) const;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -14,6 +14,8 @@
 constexpr Micros kPreemptEvery = 150 * kMillisecond;
 constexpr Micros kLasting = 30 * kSecond;  // a start that is stopped sooner does not count for its user
 constexpr Micros kIdleLong = 8 * kSecond;
+constexpr Micros kSetBack = 20 * kSecond;  // what being stopped costs a task: saving, waiting, a fetch
+constexpr double kSpoilt = 30;
 constexpr double kShortStart = 10;
 constexpr Micros kForgetUse = 60 * kSecond;  // a peak of use halves in this time
 constexpr double kFetchPenalty = 10;         // a second
@@ -238,6 +240,15 @@
             preempt(*job);
 }
 
+/// Whether stopping a task would make its job miss an aim that it can still make.
+bool Owner::spoils(const Job& job, Micros ran) const {
+    const auto goals = context_.settings().goals("finished", job.spec.job_class);
+    const Micros age = (context_.host().wall_ms() - job.submitted_ms) * kMillisecond;
+    const Micros left = std::max<Micros>(job.spec.estimate * 6 / 5 - ran, 2 * kSecond);
+    return std::any_of(goals.begin(), goals.end(),
+                       [&](Micros goal) { return age + left <= goal && age + left + kSetBack > goal; });
+}
+
 /// Idle work of long tasks is bound the more seldom: each bind costs a change, and what was just stopped to
 /// make room is likely to be stopped again.
 Micros Owner::idle_pause(const Job& job) {
@@ -473,8 +484,8 @@
         const Micros unsaved = other->spec.checkpoint > 0 ? ran % other->spec.checkpoint : ran;
         const bool saves = other->spec.checkpoint > 0 && !hurries && unsaved > saving;
         // A start that does not last is none for its user.
-        const double lost =
-            static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0 + (ran < kLasting ? kShortStart : 0.0);
+        const double lost = static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0 +
+                            (ran < kLasting ? kShortStart : 0.0) + (spoils(*other, ran) ? kSpoilt : 0.0);
         victims.push_back({&slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0),
                            saves ? saving : 0});
     }
