--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -608,7 +608,6 @@
     part.bytes += binding_bytes(m);
     m.booked += job.spec.need;
     if (job.spec.rank == Rank::Low) m.idle_work += job.spec.need.cores;
-    if (job.spec.kind == JobKind::Service) ++m.replicas;
     m.tasks.insert({&job, task});
     usage_[job.spec.team] += job.spec.need;
     remember_image(m, job, false);
@@ -622,7 +621,6 @@
     part.bytes -= binding_bytes(m);
     m.booked -= job.spec.need;
     if (job.spec.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
-    if (job.spec.kind == JobKind::Service) --m.replicas;
     m.tasks.erase({&job, task});
     forget_fetch(m, job);
     if (m.tasks.empty()) m.idle_since = context_.host().listened();
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -67,7 +67,6 @@
     Micros notice_end = 0;
     Resources booked;
     Milli idle_work = 0;  // cores of these that work of idle rank has
-    int replicas = 0;     // of services, among its tasks
     std::set<TaskRef> tasks;
     std::vector<ReportedTask> exited;
     std::vector<ReportedTask> strays;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -162,11 +162,10 @@
 std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
                                 const std::vector<Machine*>& machines, bool ready_only) {
     enum class Image { Any, Fetching, Ready };
-    auto pass = [&](Image image, bool spot, bool together) {
+    auto pass = [&](Image image, bool spot) {
         std::vector<Candidate> part;
         for (const auto& c : open) {
             if (spot && !machines[c.index]->spot) continue;
-            if (together && machines[c.index]->replicas == 0) continue;
             if (image == Image::Any || c.image_ready || (image == Image::Fetching && c.has_image))
                 part.push_back(c);
         }
@@ -178,11 +177,8 @@
         order = {Image::Ready, Image::Fetching, Image::Any};
     if (ready_only) order = {Image::Ready};
     for (const Image image : order) {
-        std::ptrdiff_t chosen = -1;
-        // Services stay together, so that the other ordinary machines can be returned when they are surplus.
-        if (job.spec.kind == JobKind::Service) chosen = pass(image, false, true);
-        if (chosen < 0 && job.spec.spot) chosen = pass(image, true, false);
-        if (chosen < 0) chosen = pass(image, false, false);
+        std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
+        if (chosen < 0) chosen = pass(image, false);
         if (chosen >= 0) return chosen;
     }
     return -1;
