Formats and limits to come: a proven fact that all controllers are new, values in pieces, blocks split

Nothing new is written before every node that the settings name has said under c/format/NODE, which production ignores, that it reads format 2. Then values that are larger than the smaller of both limits go in pieces that count when the head naming them is committed on their marks; large blocks are split in quiet moments; the lower rate of changes is taken up when the service refuses.

--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kForgetPatience = 500 * kMillisecond;    // what was on them is in doubt until then
 constexpr Micros kReturnLatest = 20 * kSecond;
 constexpr Micros kRetry = 300 * kMillisecond;
+constexpr Micros kRefused = 5 * kSecond;  // what the service does not take is not sent again and again
 
 /// What of a limit is stored in shares; what has no limit needs none.
 Milli to_share(Milli limit) {
@@ -87,6 +88,11 @@
     for (const auto& name : left) {
         auto at = block_of_.find(name);
         if (at == block_of_.end() || at->second != id) continue;  // it has moved to another block
+        // Its new record follows; were it taken for gone until then, its tasks would run twice.
+        if (auto split = splitting_.find(name); split != splitting_.end()) {
+            at->second = split->second;
+            continue;
+        }
         block_of_.erase(at);
         visits_.erase(name);
         for (auto& [domain, owner] : owners_)
@@ -176,10 +182,11 @@
             apply_block(id, value.is_null() ? nullptr : &value, r.revision);
             return finish(std::move(list), true);
         }
-        auto again = [this, id, list = std::move(list)](bool) mutable {
+        const Micros pause = r.status == CommitStatus::Rejected ? kRefused : kRetry;
+        auto again = [this, id, pause, list = std::move(list)](bool) mutable {
             BlockEdits& e = edits_[id];
             e.in_flight = false;
-            e.not_before = host_.now() + kRetry;
+            e.not_before = host_.now() + pause;
             e.waiting.insert(e.waiting.begin(), std::make_move_iterator(list.begin()),
                              std::make_move_iterator(list.end()));
         };
@@ -231,6 +238,57 @@
                    kForgetPatience);
 }
 
+/// How many machines a record has room for.
+std::size_t Controller::block_size() const {
+    return std::max<std::size_t>(settings_.value_bytes * 17 / 20 / kMachineBytes, 1);
+}
+
+/// Into several records, in one change; each machine keeps its token, so nothing is disturbed. What does not
+/// fit into one change is split once more later.
+void Controller::split_block(const Block& block, const Owner& o) {
+    Block rest = block;
+    std::vector<Block> parts;
+    while (rest.machines.size() > block_size() && parts.size() + 1 < settings_.txn_ops) {
+        Block part = block;
+        part.id = std::to_string(o.mark()) + "-" + std::to_string(++block_counter_);
+        const auto from = rest.machines.end() - static_cast<std::ptrdiff_t>(block_size());
+        part.machines.assign(from, rest.machines.end());
+        rest.machines.erase(from, rest.machines.end());
+        parts.push_back(std::move(part));
+    }
+    Change change;
+    change.priority = Priority::Deferrable;
+    change.when = {{keys::domain + block.domain, o.mark()}, {keys::block + block.id, block.mark}};
+    // The new ones first: a machine that is in another block already has not left when the old one loses it.
+    std::vector<std::pair<std::string, Value>> writes;
+    for (const auto& part : parts) {
+        change.when.push_back({keys::block + part.id, 0});
+        writes.emplace_back(part.id, part.value());
+    }
+    writes.emplace_back(block.id, rest.value());
+    for (const auto& [id, value] : writes) change.then.push_back({keys::block + id, value});
+    change.purpose = "split";
+    edits_[block.id].in_flight = true;  // nothing else rewrites it meanwhile
+    spdlog::info("block {}: {} machines, split into {}", block.id, block.machines.size(), writes.size());
+    for (const auto& part : parts)
+        for (const auto& m : part.machines) splitting_[m.name] = part.id;
+    commit_surely(std::move(change), [this, id = block.id, writes, parts](const CommitResult& r) {
+        if (auto e = edits_.find(id); e != edits_.end()) e->second.in_flight = false;
+        if (r.status == CommitStatus::Ok)
+            for (const auto& [at, value] : writes) apply_block(at, &value, r.revision);
+        for (const auto& part : parts)
+            for (const auto& m : part.machines) {
+                splitting_.erase(m.name);
+                // Not split after all, and somebody else has taken it out of the block.
+                auto at = block_of_.find(m.name);
+                if (at == block_of_.end() || at->second != part.id || blocks_.count(part.id)) continue;
+                block_of_.erase(at);
+                for (auto& [domain, owner] : owners_)
+                    if (owner) owner->on_machine_gone(m.name, "it is deleted, or given away empty");
+            }
+    });
+}
+
 // ---------------------------------------------------------------- leasing
 
 void Controller::lease_machine(const Block::Machine& machine, const std::string& type,
@@ -298,7 +356,7 @@
         have[{b.domain, {b.type, b.zone, b.spot}}] += b.machines.size();
         cores[{b.domain, b.zone, b.spot}] += size_of(b.type) * static_cast<Milli>(b.machines.size());
     }
-    const std::size_t most = std::max<std::size_t>(settings_.value_bytes * 17 / 20 / kMachineBytes, 1);
+    const std::size_t most = block_size();
     for (const auto& [shape, names] : fresh) {
         // Evenly over the domains; of spot machines more to those whose holder is in their zone: where zones
         // can't reach each other, these go on as if nothing had happened. Ordinary ones hold the services,
@@ -362,6 +420,10 @@
             for (const auto& d : done) d();
             return;
         }
+        if (r.status == CommitStatus::Rejected) {
+            for (const auto& name : machines) unleased_.erase(name);  // they come up again
+            return;
+        }
         after_sync([this, block, machines, term](bool) {
             if (blocks_.count(block.id)) {  // carried out after all
                 for (const auto& name : machines) unleased_.erase(name);
@@ -549,7 +611,7 @@
         const bool fits = b && b->domain == from.domain() && !edits_.count(b->id) &&
                           (first || (b->type == next.type && b->zone == next.zone && b->spot == next.spot)) &&
                           (sources.count(b->id) || sources.size() + 2 <= settings_.txn_ops) &&
-                          moved.size() < settings_.value_bytes * 17 / 20 / kMachineBytes;
+                          moved.size() < block_size();
         if (!fits) {
             kept.push_back(name);
             continue;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -83,6 +83,9 @@
     lease_blocks();
     first_shares();
     store_types();
+    announce_format();
+    sweep_pieces();
+    split_blocks();
     flush_edits();
     fleet_.tick();
     retired_owners_.clear();
@@ -289,6 +292,16 @@
 
 void Controller::apply(const std::string& key, const Value* value, Revision mark) {
     auto rest = [&](const std::string& prefix) { return key.substr(prefix.size()); };
+    if (starts_with(key, keys::piece)) return store_.shelf().take(key, value, host_.now());
+    std::optional<Value> whole;
+    if (!value) {
+        store_.shelf().gone(key);
+    } else if (whole = store_.shelf().whole(key, *value); whole) {
+        value = &*whole;
+    } else {
+        // Replaced since, so that its pieces are gone: news of that follows.
+        return spdlog::info("{}: not all pieces of it are there", key);
+    }
     if (starts_with(key, keys::job)) {
         if (value) apply_job(rest(keys::job), *value, mark);
     } else if (starts_with(key, keys::part)) {
@@ -303,6 +316,8 @@
         auto& share = shares_[rest(keys::share)];
         if (value && mark > share.second) share = {parse_shares(*value), mark};
         wake();
+    } else if (starts_with(key, keys::format)) {
+        if (value) apply_format(rest(keys::format), *value);
     } else if (key == keys::types && value && mark > stored_types_.second) {
         stored_types_ = {*value, mark};
         if (types_.empty()) learn(*value, true);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -121,6 +121,9 @@
     peer::FleetBalance balance() const;
     Milli capacity_of(const std::string& domain) const;
 
+    /// Whether every controller that the settings name reads what this version writes.
+    bool all_new() const { return all_new_; }
+
     /// How long a holder may answer after its last confirmation without a cancellation being missed too long.
     Micros authority() const;
 
@@ -155,6 +158,12 @@
     std::size_t rank_among_live(const std::string& what) const;
     std::size_t machines_at(const std::string& node) const;
 
+    // ---- what versions read and write, in formats.cpp
+    void apply_format(const std::string& node, const Value& value);
+    void announce_format();
+    void sweep_pieces();
+    void split_blocks();
+
     // ---- records of blocks and shares, in blocks.cpp
     struct BlockEdit {
         std::function<bool(Block&)> change;  // false: nothing to change (any more)
@@ -181,6 +190,8 @@
     void edit_block(const std::string& id, BlockEdit edit, Micros patience);
     void flush_edits();
     void flush_edits(const std::string& id, BlockEdits& edits);
+    std::size_t block_size() const;
+    void split_block(const Block& block, const Owner& o);
     void lease_blocks();
     void lease_block(Block block, std::vector<std::string> machines);
     void first_shares();
@@ -252,6 +263,11 @@
     };
     std::list<Waiter> waiters_;
 
+    std::map<std::string, std::uint64_t> formats_;  // what each controller is known to read
+    bool announcing_ = false;
+    bool all_new_ = false;
+    Micros swept_at_ = 0;
+    Micros split_at_ = 0;
     std::set<std::string> live_;
     std::map<std::string, Micros> live_since_;
     std::map<std::string, Micros> dead_since_;
@@ -266,6 +282,7 @@
     Micros handed_over_at_ = 0;
     std::map<std::string, Block> blocks_;
     std::unordered_map<std::string, std::string> block_of_;  // machine -> block
+    std::map<std::string, std::string> splitting_;           // machine -> the block that it is split off into
     std::map<std::string, std::pair<Shares, Revision>> shares_;
     std::map<std::string, Shares> giving_;  // parts of our shares that are being given away
     std::set<std::string> share_busy_;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kUsualBinding = 22;
+constexpr Micros kRefused = 5 * kSecond;
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
 constexpr Micros kDefer = 4 * kSecond;
 constexpr Micros kGatherShort = 150 * kMillisecond;
@@ -376,6 +377,8 @@
         p.not_before = context_.host().now() + 150 * kMillisecond;
         return touch(*job, index);
     }
+    // What the service does not take is not sent again and again.
+    if (result.status == CommitStatus::Rejected) p.not_before = context_.host().now() + kRefused;
     // Executed or not: the record decides.
     reload(ref, index);
     if (index > 0) reload(ref, 0);
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -21,6 +21,9 @@
 inline const std::string block = "c/block/";
 inline const std::string job = "c/job/";
 inline const std::string part = "c/part/";
+inline const std::string format = "c/format/";
+// Before everything else in order, so that a list tells of the pieces before the records that name them.
+inline const std::string piece = "c/0/";
 }  // namespace keys
 
 /// Machines of one type, zone and kind that are leased together: one record, one change for all of them.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -174,8 +174,21 @@
     s.cancel = duration(t, "deployment.workers.cancel_s");
     s.state_rps = number(t, "deployment.state.rps", 0.1, 1e6);
     s.state_write_rps = number(t, "deployment.state.write_rps", 0.1, 1e6);
-    s.value_bytes = static_cast<std::size_t>(number(t, "deployment.state.value_kb", 1, 64) * 1024);
-    s.txn_ops = static_cast<std::size_t>(number(t, "deployment.state.txn_ops", 1, 1000));
+    auto bytes = [&](const char* key) { return static_cast<std::size_t>(number(t, key, 1, 64) * 1024); };
+    auto ops = [&](const char* key) { return static_cast<std::size_t>(number(t, key, 1, 1000)); };
+    s.value_bytes = s.value_bytes_now = bytes("deployment.state.value_kb");
+    s.txn_ops = ops("deployment.state.txn_ops");
+    s.next_write_rps = s.state_write_rps;
+    if (const auto next = t.at_path("deployment.state.next")) {
+        if (!next.is_table()) fail("deployment.state.next", "must be a table");
+        auto set = [&](const char* key) { return static_cast<bool>(t.at_path(key)); };
+        if (set("deployment.state.next.value_kb"))
+            s.value_bytes = std::min(s.value_bytes, bytes("deployment.state.next.value_kb"));
+        if (set("deployment.state.next.txn_ops"))
+            s.txn_ops = std::min(s.txn_ops, ops("deployment.state.next.txn_ops"));
+        if (set("deployment.state.next.write_rps"))
+            s.next_write_rps = number(t, "deployment.state.next.write_rps", 0.1, 1e6);
+    }
     s.cloud_rps = number(t, "deployment.cloud.rps", 0.1, 1e6);
     s.list_lag = duration(t, "deployment.cloud.list_lag_s");
     s.sockets = static_cast<std::size_t>(number(t, "deployment.limits.sockets", 64, 1e6));
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -74,12 +74,15 @@
     Micros cancel = 60 * kSecond;
     double state_rps = 100;
     double state_write_rps = 20;
-    std::size_t value_bytes = 4096;
+    double next_write_rps = 20;      // that the service may change to, without notice
+    std::size_t value_bytes = 4096;  // the smaller of now and next, like `txn_ops`: kept from the start
+    std::size_t value_bytes_now = 4096;
     std::size_t txn_ops = 8;
     double cloud_rps = 4;
     Micros list_lag = 6 * kSecond;
     std::size_t sockets = 1000;
-    double cpu_share = 1;  // of a core
+    double cpu_share = 1;          // of a core
+    bool announces_format = true;  // false: like the version before (tests)
     OperatorSettings ops;
 
     /// The times that the objectives of a kind set for a class, the shortest first.
--- /dev/null
+++ b/src/state/pieces.cpp
@@ -0,0 +1,122 @@
+#include "state/pieces.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "core/records.hpp"
+
+namespace cottonway::pieces {
+
+namespace {
+constexpr std::size_t kShort = 64;   // what stays in the head
+constexpr std::size_t kFrame = 120;  // of a piece besides its text
+constexpr Micros kLeftOver = 60 * kSecond;
+
+std::string text_of(const Value& value) {
+    return value.dump(-1, ' ', false, Value::error_handler_t::replace);
+}
+}  // namespace
+
+std::size_t stored_size(const Value& value) {
+    const std::string text = text_of(value);
+    return text.size() + static_cast<std::size_t>(std::count_if(text.begin(), text.end(),
+                                                                [](char c) { return c == ',' || c == ':'; }));
+}
+
+Split split(const Value& value, const std::string& name, std::size_t limit) {
+    Split out;
+    out.head = Value::object();
+    Value rest = Value::object();
+    for (const auto& [key, v] : value.items()) {
+        const bool small = v.is_number() || v.is_boolean() ||
+                           (v.is_string() && v.get_ref<const std::string&>().size() <= kShort);
+        (small ? out.head : rest)[key] = v;
+    }
+    // As JSON in ASCII, in which a character of the text takes two at the most.
+    const std::string text = rest.dump(-1, ' ', true, Value::error_handler_t::replace);
+    std::string piece;
+    std::size_t bytes = kFrame;
+    for (const char c : text) {
+        const std::size_t takes = c == '"' || c == '\\' || c == ',' || c == ':' ? 2 : 1;
+        if (bytes + takes > limit) {
+            out.texts.push_back(std::exchange(piece, {}));
+            bytes = kFrame;
+        }
+        bytes += takes;
+        piece += c;
+    }
+    out.texts.push_back(piece);
+    out.head["x"] = Value::array({name, out.texts.size()});
+    return out;
+}
+
+std::optional<std::pair<std::string, std::size_t>> named_by(const Value& value) {
+    const Value* x = wire::find(value, "x");
+    if (!x || !x->is_array() || x->size() != 2 || !(*x)[0].is_string() || !(*x)[1].is_number_unsigned())
+        return std::nullopt;
+    return std::pair((*x)[0].get<std::string>(), (*x)[1].get<std::size_t>());
+}
+
+std::optional<Value> join(const Value& head, const std::vector<std::string>& texts) {
+    std::string text;
+    for (const auto& t : texts) text += t;
+    Value value = Value::parse(text, nullptr, false);
+    if (!value.is_object()) return std::nullopt;
+    for (const auto& [key, v] : head.items())
+        if (key != "x") value[key] = v;
+    return value;
+}
+
+std::string key(const std::string& name, std::size_t index) {
+    return keys::piece + name + "/" + std::to_string(index);
+}
+
+Value piece(const std::string& of, const std::string& text) {
+    return {{"of", of}, {"t", text}};
+}
+
+void Shelf::take(const std::string& key, const Value* value, Micros now) {
+    const auto slash = key.rfind('/');
+    if (slash == std::string::npos || slash <= keys::piece.size()) return;
+    const std::string name = key.substr(keys::piece.size(), slash - keys::piece.size());
+    const auto index = static_cast<std::size_t>(std::strtoul(key.c_str() + slash + 1, nullptr, 10));
+    if (!value) {
+        auto it = held_.find(name);
+        if (it == held_.end()) return;
+        it->second.texts.erase(index);
+        if (it->second.texts.empty()) held_.erase(it);
+        return;
+    }
+    Held& held = held_[name];
+    if (held.since == 0) held.since = now;
+    held.of = wire::text(*value, "of").value_or("");
+    held.texts[index] = wire::text(*value, "t").value_or("");
+}
+
+std::optional<Value> Shelf::whole(const std::string& key, const Value& stored) {
+    const auto named = named_by(stored);
+    if (!named) {
+        heads_.erase(key);
+        return stored;
+    }
+    heads_[key] = named->first;
+    auto it = held_.find(named->first);
+    if (it == held_.end() || it->second.texts.size() != named->second) return std::nullopt;
+    std::vector<std::string> texts;
+    for (const auto& [i, t] : it->second.texts) texts.push_back(t);
+    return join(stored, texts);
+}
+
+std::vector<std::string> Shelf::left_over(Micros now) const {
+    std::vector<std::string> keys;
+    for (const auto& [name, held] : held_) {
+        if (now - held.since < kLeftOver) continue;
+        auto head = heads_.find(held.of);
+        if (head != heads_.end() && head->second == name) continue;
+        for (const auto& [index, text] : held.texts) keys.push_back(key(name, index));
+    }
+    return keys;
+}
+
+}  // namespace cottonway::pieces
--- /dev/null
+++ b/src/state/pieces.hpp
@@ -0,0 +1,54 @@
+#pragma once
+// Values that are larger than the state service takes are stored in pieces: texts under keys of their own,
+// and a head under the value's key that names them. Only what a head names counts, and a head is committed on
+// the marks of its pieces, so it never names one that is not there. What no head names is dropped after a
+// while.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/wire.hpp"
+
+namespace cottonway::pieces {
+
+/// The size of a value as the service may count it: in JSON, with a blank after every comma and colon.
+std::size_t stored_size(const Value& value);
+
+struct Split {
+    Value head;
+    std::vector<std::string> texts;
+};
+/// The head keeps what is small, so that a look at it tells as much as one needs of a job that is only asked
+/// after.
+Split split(const Value& value, const std::string& name, std::size_t limit);
+/// The name and the number of the pieces, if it is a head.
+std::optional<std::pair<std::string, std::size_t>> named_by(const Value& value);
+std::optional<Value> join(const Value& head, const std::vector<std::string>& texts);
+
+std::string key(const std::string& name, std::size_t index);
+Value piece(const std::string& of, const std::string& text);
+
+/// The pieces that the news has told of.
+class Shelf {
+  public:
+    void take(const std::string& key, const Value* value, Micros now);
+    /// The value that a key stands for; nothing while pieces of it are missing.
+    std::optional<Value> whole(const std::string& key, const Value& stored);
+    void gone(const std::string& key) { heads_.erase(key); }
+    /// Keys of pieces that no head has named for long.
+    std::vector<std::string> left_over(Micros now) const;
+    std::size_t size() const { return held_.size(); }
+
+  private:
+    struct Held {
+        std::string of;
+        std::map<std::size_t, std::string> texts;
+        Micros since = 0;
+    };
+    std::map<std::string, Held> held_;          // by name
+    std::map<std::string, std::string> heads_;  // key -> name of the pieces that it is stored in
+};
+
+}  // namespace cottonway::pieces
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -46,6 +46,12 @@
     return left_;
 }
 
+void RateBudget::set_rate(double per_second, double burst) {
+    rate_ = per_second;
+    burst_ = burst;
+    left_ = std::min(left_, burst);
+}
+
 std::size_t Store::Queue::size() const {
     std::size_t n = 0;
     for (const auto& q : pending) n += q.size();
@@ -66,6 +72,7 @@
       requests_(settings.state_rps * std::min(0.9, 1.4 / static_cast<double>(settings.peers.size() + 1)),
                 settings.state_rps * 0.3),
       writes_(settings.state_write_rps * 0.95, settings.state_write_rps * 0.9),
+      write_rps_(settings.state_write_rps),
       fair_(settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1),
             settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1)) {}
 
@@ -86,7 +93,7 @@
 
 bool Store::take_writes(Micros now, std::size_t changes, Priority priority) {
     const auto amount = static_cast<double>(changes);
-    const double reserve = kReserve[static_cast<std::size_t>(priority)] * settings_.state_write_rps * 0.9;
+    const double reserve = kReserve[static_cast<std::size_t>(priority)] * write_rps_ * 0.9;
     if (priority != Priority::Deferrable && fair_.take(now, amount) == 0) {
         writes_.drain(now, amount);
         return true;
@@ -122,7 +129,7 @@
     call.method = "GET";
     call.path = "/store/" + key;
     call.timeout = 1500 * kMillisecond;
-    request(std::move(call), [done = std::move(done)](const Reply& r) {
+    request(std::move(call), [this, done = std::move(done)](const Reply& r) {
         ReadResult result;
         if (r.status == 404 && r.body.is_object()) {
             result.ok = true;
@@ -131,10 +138,32 @@
             auto mark = wire::count(r.body, "mark");
             if (data && mark) result = {true, true, *data, *mark};
         }
+        if (result.found && pieces::named_by(result.value))
+            return read_pieces(std::move(result), {}, std::move(done));
         done(std::move(result));
     });
 }
 
+/// A piece that is missing means that the record has been replaced since: then nothing is known.
+void Store::read_pieces(ReadResult head, std::vector<std::string> texts,
+                        std::function<void(ReadResult)> done) {
+    const auto named = pieces::named_by(head.value);
+    if (texts.size() >= named->second) {
+        auto whole = pieces::join(head.value, texts);
+        if (!whole) return done({});
+        head.value = std::move(*whole);
+        return done(std::move(head));
+    }
+    const std::string key = pieces::key(named->first, texts.size());
+    read(key, [this, head = std::move(head), texts = std::move(texts),
+               done = std::move(done)](const ReadResult& r) mutable {
+        auto text = r.found ? wire::text(r.value, "t") : std::nullopt;
+        if (!text) return done({});
+        texts.push_back(std::move(*text));
+        read_pieces(std::move(head), std::move(texts), std::move(done));
+    });
+}
+
 void Store::list(const std::string& prefix, std::function<void(const Entry&)> each,
                  std::function<void(ListResult)> done) {
     list_page(prefix, "", std::move(each), std::make_shared<ListResult>(), std::move(done));
@@ -198,6 +227,74 @@
 }
 
 void Store::commit(Change change, std::function<void(const CommitResult&)> done) {
+    bool too_large = false;
+    for (auto& w : change.then) {
+        w.bytes = w.value.is_null() ? 0 : pieces::stored_size(w.value);
+        too_large = too_large || (w.value.is_object() && w.bytes > settings_.value_bytes);
+    }
+    if (too_large && in_pieces_) return commit_in_pieces(std::move(change), std::move(done));
+    enqueue(std::move(change), std::move(done));
+}
+
+/// The pieces first, under names that nobody else uses; then the change itself, with heads for what is too
+/// large, on condition that the pieces stand as written. Whatever fails before that has changed nothing that
+/// counts.
+void Store::commit_in_pieces(Change change, std::function<void(const CommitResult&)> done) {
+    struct Parts {
+        Change change;
+        std::function<void(const CommitResult&)> done;
+        std::size_t missing = 0;
+        bool failed = false;
+    };
+    auto pending = std::make_shared<Parts>();
+    std::vector<Write> parts;
+    for (auto& w : change.then) {
+        if (!w.value.is_object() || w.bytes <= settings_.value_bytes) continue;
+        char name[24];
+        std::snprintf(name, sizeof name, "%016llx", static_cast<unsigned long long>(host_.random()()));
+        auto split = pieces::split(w.value, name, settings_.value_bytes);
+        for (std::size_t i = 0; i < split.texts.size(); ++i)
+            parts.push_back({pieces::key(name, i), pieces::piece(w.key, split.texts[i])});
+        w.value = std::move(split.head);
+        w.bytes = pieces::stored_size(w.value);
+    }
+    if (change.when.size() + parts.size() > settings_.txn_ops * 4) {
+        spdlog::error("{} is too large to be stored: {} pieces", change.then.front().key, parts.size());
+        return host_.after(0, [done = std::move(done)] { done({CommitStatus::Rejected, 0, {}}); });
+    }
+    pending->change = std::move(change);
+    pending->done = std::move(done);
+    pending->missing = parts.size();
+    for (auto& part : parts) {
+        Change first;
+        first.priority = pending->change.priority;
+        first.purpose = "piece";
+        const std::string key = part.key;
+        part.bytes = pieces::stored_size(part.value);
+        first.then.push_back(std::move(part));
+        enqueue(std::move(first), [this, pending, key](const CommitResult& r) {
+            pending->failed = pending->failed || r.status != CommitStatus::Ok;
+            pending->change.when.push_back({key, r.revision});
+            if (--pending->missing > 0) return;
+            if (pending->failed) return pending->done({CommitStatus::Unavailable, 0, {}});
+            enqueue(std::move(pending->change), std::move(pending->done));
+        });
+    }
+}
+
+/// The service refuses more changes than it used to take: from then on the rate that it was announced to
+/// have.
+void Store::slow_down(Micros now) {
+    const bool again = now - std::exchange(refused_at_, now) < 2 * kSecond;
+    if (!again || write_rps_ <= settings_.next_write_rps) return;
+    write_rps_ = settings_.next_write_rps;
+    spdlog::info("the state service takes fewer changes: {} a second from now on", write_rps_);
+    writes_.set_rate(write_rps_ * 0.95, write_rps_ * 0.9);
+    const double part = write_rps_ * 0.9 / static_cast<double>(settings_.peers.size() + 1);
+    fair_.set_rate(part, part);
+}
+
+void Store::enqueue(Change change, std::function<void(const CommitResult&)> done) {
     const bool writes = !change.then.empty();
     Queue& queue = writes ? write_queue_ : check_queue_;
     if (queue.size() >= kMaxQueue) {
@@ -236,8 +333,7 @@
             std::size_t size = 64;
             bool clash = false;
             for (const auto& w : p.change.then) {
-                size +=
-                    w.key.size() + 32 + w.value.dump(-1, ' ', false, Value::error_handler_t::replace).size();
+                size += w.key.size() + 32 + w.bytes;
                 clash = clash || keys.count(w.key) > 0;
             }
             for (const auto& c : p.change.when) {
@@ -260,8 +356,7 @@
             first->pop_front();
         }
         if (batch.empty())
-            return later(queue, writes,
-                         std::max<Micros>(static_cast<Micros>(5e5 / settings_.state_write_rps), kGather));
+            return later(queue, writes, std::max<Micros>(static_cast<Micros>(5e5 / write_rps_), kGather));
         ++queue.in_flight;
         send(queue, writes, std::move(batch));
     }
@@ -331,6 +426,7 @@
         return finish(hit, {CommitStatus::Conflict, 0, {failed.begin(), failed.end()}});
     }
     if (reply.status == 429) {
+        if (writes) slow_down(host_.now());
         // Others use the same budget; what has waited too long is given back to its caller.
         const Micros now = host_.now();
         queue.pause_until =
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -12,6 +12,7 @@
 
 #include "core/host.hpp"
 #include "settings/settings.hpp"
+#include "state/pieces.hpp"
 
 namespace cottonway {
 
@@ -26,6 +27,7 @@
     std::string key;
     Value value;  // null: delete
     std::uint64_t lease = 0;
+    std::size_t bytes = 0;  // of the value, as soon as it is known
 };
 
 /// Changes a second are scarce and shared by all controllers: what users wait for goes first, what may wait
@@ -83,6 +85,7 @@
     /// Takes what others have used, down to a full burst of debt.
     void drain(Micros now, double amount);
     double left(Micros now);
+    void set_rate(double per_second, double burst);
     /// What is left, as a share of the burst.
     double level(Micros now) { return left(now) / burst_; }
 
@@ -105,6 +108,10 @@
     void grant(Micros ttl, std::function<void(std::uint64_t lease)> done);  // 0: none
     void extend(std::uint64_t lease, std::function<void(int status)> done);
 
+    /// From now on values that are too large are stored in pieces. Only once every controller reads them.
+    void use_pieces() { in_pieces_ = true; }
+    pieces::Shelf& shelf() { return shelf_; }
+
     /// News of a change: those of others use up the same budget.
     void observe(Revision mark);
     /// Whether a change of this priority would go out about now. Asked before a record is put together, so
@@ -136,6 +143,10 @@
     };
 
     void request(Call call, ReplyHandler done);
+    void enqueue(Change change, std::function<void(const CommitResult&)> done);
+    void commit_in_pieces(Change change, std::function<void(const CommitResult&)> done);
+    void read_pieces(ReadResult head, std::vector<std::string> texts, std::function<void(ReadResult)> done);
+    void slow_down(Micros now);
     bool take_writes(Micros now, std::size_t changes, Priority priority);
     void pump(Queue& queue, bool writes);
     void later(Queue& queue, bool writes, Micros delay);
@@ -148,9 +159,13 @@
     Host& host_;
     const Settings& settings_;
     RateBudget requests_;
-    RateBudget writes_;       // what all controllers share, as far as we can tell
+    RateBudget writes_;  // what all controllers share, as far as we can tell
+    double write_rps_;
+    Micros refused_at_ = 0;   // for the rate
     RateBudget fair_;         // our part, whatever the others do: without it the greedy would starve the rest
     std::set<Revision> own_;  // revisions of our own recent changes
+    bool in_pieces_ = false;
+    pieces::Shelf shelf_;
     Queue write_queue_;
     Queue check_queue_;
     std::map<std::string, std::uint64_t> sent_;
