--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -34,7 +34,7 @@
     ++part.binding;
     part.bytes += binding_bytes(m);
     m.booked += job.spec.need;
-    if (job.spec.rank == Rank::Low) m.idle_work += job.spec.need.cores;
+    if (job.rank == Rank::Low) m.idle_work += job.spec.need.cores;
     m.tasks.insert({&job, task});
     usage_[job.spec.team] += job.spec.need;
     remember_image(m, job, false);
@@ -47,7 +47,7 @@
     if (slot.state == SlotState::Binding) --part.binding;
     part.bytes -= binding_bytes(m);
     m.booked -= job.spec.need;
-    if (job.spec.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
+    if (job.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
     m.tasks.erase({&job, task});
     forget_fetch(m, job);
     if (m.tasks.empty()) m.idle_since = context_.host().listened();
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -34,6 +34,7 @@
     v.done = static_cast<int>(wire::count(record, "fd").value_or(0));
     v.running = v.final() ? 0 : static_cast<int>(wire::count(record, "fr").value_or(0));
     v.mark = mark;
+    v.ended_ms = static_cast<std::int64_t>(wire::count(record, "end").value_or(0));
     return v;
 }
 
@@ -84,6 +85,9 @@
     first_shares();
     store_types();
     announce_format();
+    pipelines_.weigh();
+    settle_pipelines();
+    read_unknown();
     sweep_pieces();
     split_blocks();
     flush_edits();
@@ -328,11 +332,11 @@
 }
 
 void Controller::apply_job(const std::string& ref, const Value& value, Revision mark) {
-    const JobView view = JobView::of(value, mark);
+    JobView view = JobView::of(value, mark);
     const JobView* old = known(ref);
     // News of our own earlier writes may come after their results: what is older than known is dropped.
     if (old && old->mark > mark) return;
-    if (!old || old->mark < mark) remember(ref, view);
+    if (view.final()) pipelines_.over(ref, view.stage == Stage::Done, view.ended_ms);
     const Value* spec = wire::find(value, "d");
     if (!spec || view.stage == Stage::Done) {
         live_jobs_.erase(ref);
@@ -341,13 +345,23 @@
         auto [it, added] = live_jobs_.try_emplace(ref);
         LiveJob& job = it->second;
         if (added) {
+            const auto submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
+            job.since_ms = static_cast<std::int64_t>(
+                wire::number(value, "go").value_or(static_cast<double>(submitted_ms)));
             if (auto parsed = wire::parse_job(*spec).spec) {
+                if (!view.final())
+                    pipelines_.put(*parsed, submitted_ms, [this](const auto& need) { return fate(need); });
+                job.open = pipelines_.standing(ref).open;
                 job.team = parsed->team;
                 job.need = parsed->need;
                 job.image = parsed->image;
                 job.spot = parsed->spot;
             }
-            job.submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
+        }
+        // Cancelled with one before it, whatever its record says: nobody is told anything else any more.
+        if (!view.final() && pipelines_.standing(ref).orphaned) {
+            view.stage = Stage::Cancelled;
+            view.running = 0;
         }
         guarantees_due_ = true;
         job.record = value;
@@ -360,8 +374,10 @@
         job.cancelled = view.stage == Stage::Cancelled;
         job.held = wire::flag(value, "er").value_or(false);
     }
+    if (!old || old->mark < mark) remember(ref, view);
     for (auto& [name, owner] : owners_)
         if (owner && owner->active()) owner->on_job(ref, value, mark);
+    if (pipelines_.changed()) settle_pipelines();
 }
 
 void Controller::apply_part(const std::string& name, const Value* value, Revision mark) {
@@ -594,7 +610,7 @@
         guaranteed_.clear();
         std::vector<std::pair<std::pair<std::int64_t, std::string>, const LiveJob*>> order;
         for (const auto& [name, job] : live_jobs_)
-            if (!job.cancelled) order.push_back({{job.submitted_ms, name}, &job});
+            if (!job.cancelled && job.open) order.push_back({{job.since_ms, name}, &job});
         std::sort(order.begin(), order.end());
         std::map<std::string, Resources> left;
         for (const auto& t : settings_.teams) left[t.name] = t.guarantee;
@@ -644,6 +660,9 @@
     v["held"] = Value::array();
     for (const auto& [name, o] : owners_)
         if (o) v["held"].push_back(o->status());
+    v["waiting"] = Value::object();
+    for (const auto& ref : pipelines_.waiting()) v["waiting"][ref] = pipelines_.waits_for(ref);
+    v["format"] = {{"all_new", all_new_}, {"reads", formats_}};
     v["fleet"] = fleet_.status();
     v["changes_sent"] = store_.sent();
     return v;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -45,6 +45,7 @@
     int done = 0;
     int running = 0;
     Revision mark = 0;
+    std::int64_t ended_ms = 0;  // by the time of day, if its record tells
 
     static JobView of(const Value& record, Revision mark);
     bool final() const { return stage != Stage::Queued; }
@@ -70,6 +71,7 @@
     void wake() override;
     Resources share(const std::string& domain, const std::string& team) const override;
     bool within_guarantee(const std::string& ref) override;
+    Standing standing(const std::string& ref) const override { return pipelines_.standing(ref); }
     std::optional<Micros> peer_ended(std::size_t peer) const override;
     void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
                       std::function<void(bool)> done) override;
@@ -80,8 +82,9 @@
         Revision mark = 0;
         std::string domain;
         std::string team;
-        std::int64_t submitted_ms = 0;
-        Resources need;  // of one task
+        std::int64_t since_ms = 0;  // when it began to count (see Job)
+        bool open = true;           // waits for no other job
+        Resources need;             // of one task
         int tasks = 0;
         int done = 0;
         int running = 0;
@@ -122,7 +125,7 @@
     Milli capacity_of(const std::string& domain) const;
 
     /// Whether every controller that the settings name reads what this version writes.
-    bool all_new() const { return all_new_; }
+    bool all_new() const override { return all_new_; }
 
     /// How long a holder may answer after its last confirmation without a cancellation being missed too long.
     Micros authority() const;
@@ -205,7 +208,11 @@
 
     // ---- users, in users.cpp
     void submit(const Value& body, ApiResponder respond);
+    void resolve(JobSpec spec, ApiResponder respond);
     void create(JobSpec spec, ApiResponder respond);
+    Pipelines::Known fate(const std::string& ref) const;
+    void settle_pipelines();
+    void read_unknown();
     std::string domain_for(const JobSpec& spec);
     void poll(const std::string& ref, ApiResponder respond);
     void abort(const std::string& ref, int tries, ApiResponder respond);
@@ -288,6 +295,8 @@
     std::set<std::string> share_busy_;
     bool sharing_first_ = false;
     std::map<std::string, LiveJob> live_jobs_;
+    Pipelines pipelines_;
+    std::set<std::string> reading_;  // jobs that are needed and that nothing is known of
     std::map<std::pair<std::string, std::string>, Micros> image_seen_;  // image and domain: used last
     std::set<std::string> guaranteed_;                                  // jobs within their team's guarantee
     bool guarantees_due_ = true;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -32,7 +32,7 @@
     }
     std::map<std::string, Resources> waiting;
     for (const auto& [ref, job] : jobs_) {
-        if (job->spec.rank == Rank::Production)
+        if (job->rank == Rank::Production && job->open)
             d.production += job->spec.need.cores * (job->idle + job->bound);
         if (job->waiting() == 0) continue;
         auto& w = waiting[job->spec.team];
@@ -122,7 +122,7 @@
         auto& part = job.parts[0];
         if (job.stage != Stage::Queued || job.next_attempt != 1 || job.idle != job.spec.tasks) continue;
         if (part.in_flight || part.reloading || part.mark == 0) continue;
-        if (!machines_.empty() && now - job.waiting_since < kWantAfter) continue;
+        if (!machines_.empty() && (!job.open || now - job.waiting_since < kWantAfter)) continue;
         const Milli need = job.spec.need.cores * job.spec.tasks;
         if (need > ordinary + (job.spec.spot ? spot : 0)) continue;
         const Milli from_spot = job.spec.spot ? std::min(need, spot) : 0;
@@ -170,7 +170,7 @@
 Value Owner::status() const {
     int waiting = 0, running = 0;
     for (const auto& [ref, job] : jobs_) {
-        waiting += job->idle;
+        if (job->open) waiting += job->idle;
         running += job->bound;
     }
     Value machines = Value::array();
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -204,7 +204,7 @@
     }
     Milli ordinary = 0, flexible = 0;
     for (const auto& [ref, job] : controller_.live_jobs()) {
-        if (job.cancelled || guests.count(job.team)) continue;
+        if (job.cancelled || !job.open || guests.count(job.team)) continue;
         // One that is taken to be broken is tried with one task at a time.
         const int tasks = job.held ? 1 : std::max(job.tasks - job.done, 0);
         const Milli cores = job.need.cores * tasks;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kUsualBinding = 22;
+constexpr Micros kOrphanPatience = 5 * kSecond;  // of records of jobs that are cancelled with another
 constexpr Micros kRefused = 5 * kSecond;
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
 constexpr Micros kDefer = 4 * kSecond;
@@ -48,13 +49,21 @@
         job->serial = next_serial_++;
         job->submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
         job->waiting_since = context_.host().now();
-        job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
         job->idle = job->spec.tasks;
+        const auto gate = wire::number(value, "go");
+        job->since_ms = gate ? static_cast<std::int64_t>(*gate) : job->submitted_ms;
+        job->piped = gate || !job->spec.needs.empty();
+        job->rank = job->spec.rank;
+        job->open = job->spec.needs.empty();
+        take_standing(*job, context_.standing(ref));
+        if (job->open) job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
         // The previous version's records don't tell and have 64 tasks a part.
         job->part_tasks = std::max<std::size_t>(wire::count(value, "ps").value_or(64), 1);
-        job->parts.resize((job->slots.size() + job->part_tasks - 1) / job->part_tasks);
+        job->parts.resize((static_cast<std::size_t>(job->spec.tasks) + job->part_tasks - 1) /
+                          job->part_tasks);
         known = job.get();
         jobs_.emplace(ref, std::move(job));
+        if (context_.standing(ref).orphaned) cancel(*known);
         known->held = wire::flag(value, "er").value_or(false);
         adopt_part(*known, 0, value, mark);
         plan_due_ = true;
@@ -72,7 +81,8 @@
     context_.wake();
 }
 
-void Owner::admit(JobSpec spec, std::int64_t submitted_ms, std::function<void(const Admission&)> done) {
+void Owner::admit(JobSpec spec, std::int64_t submitted_ms, const Standing& standing,
+                  std::function<void(const Admission&)> done) {
     const std::string ref = spec.ref;
     if (find_job(ref)) return done({CommitStatus::Unknown, 0, {}});
     auto job = std::make_unique<Job>();
@@ -80,12 +90,17 @@
     job->serial = next_serial_++;
     job->submitted_ms = submitted_ms;
     job->waiting_since = context_.host().now();
-    job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
     job->idle = job->spec.tasks;
+    job->since_ms = submitted_ms;
+    job->piped = !job->spec.needs.empty();
+    job->rank = job->spec.rank;
+    job->open = !job->piped;
+    take_standing(*job, standing);
+    if (job->open) job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
     job->part_tasks = part_tasks_for(
         context_.settings().value_bytes,
         part_value(*job, 0, false).dump(-1, ' ', false, Value::error_handler_t::replace).size());
-    job->parts.resize((job->slots.size() + job->part_tasks - 1) / job->part_tasks);
+    job->parts.resize((static_cast<std::size_t>(job->spec.tasks) + job->part_tasks - 1) / job->part_tasks);
     job->admitting = std::move(done);
     touch(*job, 0);
     jobs_.emplace(ref, std::move(job));
@@ -94,6 +109,49 @@
     context_.wake();
 }
 
+void Owner::reconsider(const std::string& ref) {
+    Job* job = find_job(ref);
+    if (!job) return;
+    const Standing standing = context_.standing(ref);
+    take_standing(*job, standing);
+    // What nothing of has been bound yet is cancelled by its record alone.
+    if (standing.orphaned && job->stage == Stage::Queued) cancel(*job);
+    context_.wake();
+}
+
+void Owner::take_standing(Job& job, const Standing& standing) {
+    job.needed = standing.needed;
+    job.orphaned = standing.orphaned;
+    job.due_ms = standing.due_ms;
+    if (job.spec.deadline)
+        job.due_ms = std::min(job.due_ms, job.submitted_ms + *job.spec.deadline / kMillisecond);
+    set_rank(job, std::min(job.spec.rank, standing.rank));
+    if (standing.since_ms > 0) job.since_ms = std::max(job.submitted_ms, standing.since_ms);
+    if (standing.open && !standing.orphaned && !job.open) open_gate(job);
+}
+
+/// All that it needs are done, which is final: from here on it is a job like any other, and its record tells
+/// only since when.
+void Owner::open_gate(Job& job) {
+    job.open = true;
+    job.spec.needs.clear();
+    job.slots.resize(static_cast<std::size_t>(job.spec.tasks));
+    job.waiting_since = context_.host().now();
+    plan_due_ = true;
+    planned_at_ = 0;
+}
+
+void Owner::set_rank(Job& job, Rank rank) {
+    if (job.rank == rank) return;
+    // What of it is bound already counts as idle work, or no longer does.
+    const bool was_idle = job.rank == Rank::Low, is_idle = rank == Rank::Low;
+    job.rank = rank;
+    plan_due_ = true;
+    if (was_idle == is_idle) return;
+    for (auto& slot : job.slots)
+        if (slot.machine) slot.machine->idle_work += is_idle ? job.spec.need.cores : -job.spec.need.cores;
+}
+
 /// Nothing of it is durable, or nobody knows (then its record is read): nothing of it was launched.
 void Owner::not_admitted(Job& job, CommitStatus status) {
     auto done = std::exchange(job.admitting, nullptr);
@@ -180,10 +238,13 @@
         v["dom"] = domain_;
         if (final_record) {
             v["fd"] = job.done;
+            // Jobs that need it count from then.
+            if (job.stage != Stage::Cancelled && context_.all_new()) v["end"] = context_.host().wall_ms();
             return v;
         }
         v["d"] = wire::job_value(job.spec);
         v["at"] = job.submitted_ms;
+        if (job.piped && job.open) v["go"] = job.since_ms;
         v["ps"] = job.part_tasks;
         v["fd"] = job.done;
         v["fr"] = job.bound;
@@ -252,7 +313,7 @@
                     not_admitted(*job, CommitStatus::Unavailable);
                     continue;
                 }
-                const Priority priority = job->spec.rank == Rank::Low ? Priority::Normal : Priority::Urgent;
+                const Priority priority = job->rank == Rank::Low ? Priority::Normal : Priority::Urgent;
                 list.push_back({priority, part.dirty_since, job, 0});
             }
             ++it;
@@ -267,7 +328,12 @@
             left = true;
             if (!busy && now >= job->parts[0].not_before) {
                 if (!job->parts[0].dirty) touch(*job, 0);
-                list.push_back({Priority::Normal, job->parts[0].dirty_since, job, 0});
+                // Others wait for the end of a job; that one is cancelled with another everybody knows.
+                const bool can_wait = job->orphaned && now - job->parts[0].dirty_since < kOrphanPatience;
+                list.push_back({can_wait      ? Priority::Deferrable
+                                : job->needed ? Priority::Urgent
+                                              : Priority::Normal,
+                                job->parts[0].dirty_since, job, 0});
             }
         } else {
             for (std::size_t p = 0; p < job->parts.size(); ++p) {
@@ -278,10 +344,10 @@
                 // Each part is written on the condition that the job's record stays as it is.
                 if (p == 0 ? busy : job->parts[0].in_flight || job->parts[0].reloading) continue;
                 if (now - part.dirty_since < gathers(*job, part.binding > 0)) continue;
-                const bool can_wait = job->spec.rank == Rank::Low && now - part.dirty_since < kIdlePatience;
-                const Priority priority = part.binding == 0 || can_wait  ? Priority::Deferrable
-                                          : job->spec.rank <= Rank::High ? Priority::Urgent
-                                                                         : Priority::Normal;
+                const bool can_wait = job->rank == Rank::Low && now - part.dirty_since < kIdlePatience;
+                const Priority priority = part.binding == 0 || can_wait ? Priority::Deferrable
+                                          : job->rank <= Rank::High     ? Priority::Urgent
+                                                                        : Priority::Normal;
                 list.push_back({priority, part.dirty_since, job, p});
             }
         }
@@ -301,7 +367,7 @@
 Micros Owner::gathers(const Job& job, bool binds) const {
     const double level = context_.store().level();
     if (!binds) return level < 0.5 ? 2 * kDefer : kDefer;
-    if (job.spec.rank == Rank::Production || !context_.settings().goals("wait", job.spec.job_class).empty())
+    if (job.rank == Rank::Production || !context_.settings().goals("wait", job.spec.job_class).empty())
         return 0;
     return level < 0.3 ? kGatherLong : level < 0.6 ? kGatherShort : 0;
 }
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -189,7 +189,8 @@
     flush_due_ = true;
     if (std::any_of(jobs_.begin(), jobs_.end(), [now](const auto& j) {
             const Job& job = *j.second;
-            return job.stage == Stage::Queued && job.idle > 0 && (!job.held || now >= job.try_after);
+            return job.stage == Stage::Queued && job.open && job.idle > 0 &&
+                   (!job.held || now >= job.try_after);
         }))
         plan_due_ = true;
     work();
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/host.hpp"
+#include "core/pipelines.hpp"
 #include "core/placement.hpp"
 #include "core/records.hpp"
 #include "peer/messages.hpp"
@@ -147,6 +148,14 @@
     std::uint64_t serial = 0;
     Stage stage = Stage::Queued;
     std::int64_t submitted_ms = 0;
+    /// Its gate: while it waits for others it has no slots and counts for nothing.
+    bool open = true;
+    bool piped = false;         // it needed others
+    bool needed = false;        // others wait for it
+    bool orphaned = false;      // cancelled with another
+    std::int64_t since_ms = 0;  // when it began to count: its submission, or the end of the last job needed
+    Rank rank = Rank::Normal;   // its own, or that of a job that needs it
+    std::int64_t due_ms = INT64_MAX;
     std::vector<Slot> slots;
     std::int64_t next_attempt = 1;
     int idle = 0, bound = 0, done = 0;  // by state; Binding counts as bound, DonePending as done
@@ -186,7 +195,7 @@
 
     /// Tasks that wait for room. Those of a job that is taken to be broken don't, and idle work takes what is
     /// left over: neither moves machines or shares, or keeps other jobs away.
-    int waiting() const { return stage == Stage::Queued && !held && spec.rank != Rank::Low ? idle : 0; }
+    int waiting() const { return stage == Stage::Queued && open && !held && rank != Rank::Low ? idle : 0; }
 
     Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
     /// Nothing of it is left to run, to stop or to wait for.
@@ -217,6 +226,10 @@
     virtual Resources share(const std::string& domain, const std::string& team) const = 0;
     /// Whether the job fits into its team's guarantee together with the team's earlier unfinished jobs.
     virtual bool within_guarantee(const std::string& ref) = 0;
+    /// How the job stands among those that need one another.
+    virtual Standing standing(const std::string& ref) const = 0;
+    /// Whether all controllers read what this version writes.
+    virtual bool all_new() const = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
 
@@ -243,7 +256,10 @@
     void activate();
 
     /// Admits a new job, with the first binds of its tasks in the same change where there is room for them.
-    void admit(JobSpec spec, std::int64_t submitted_ms, std::function<void(const Admission&)> done);
+    void admit(JobSpec spec, std::int64_t submitted_ms, const Standing& standing,
+               std::function<void(const Admission&)> done);
+    /// The job stands differently among those that need one another.
+    void reconsider(const std::string& ref);
 
     /// The orders to answer a report with, or nothing if it must not be answered.
     struct Answer {
@@ -307,6 +323,9 @@
     bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const;
 
     void bind(Job& job, int task, Machine& m, std::int64_t attempt);
+    void take_standing(Job& job, const Standing& standing);
+    void open_gate(Job& job);
+    void set_rank(Job& job, Rank rank);
     void mark_done(Job& job, int task);
     void set_idle(Job& job, Slot& slot);
     void stop_slot(Slot& slot, Micros grace);
--- /dev/null
+++ b/src/core/pipelines.hpp
@@ -0,0 +1,85 @@
+#pragma once
+// Which jobs need which. A job's gate opens when all that it needs are done, it is cancelled when one before
+// it is, and it is treated with the priority and the deadline of what needs it. Both facts that this rests
+// on, done and cancelled, are final in the store, so every controller comes to the same result and none has
+// to be told. Knows only jobs that need others or are needed, and that are not over.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+/// How a job stands among those that need one another.
+struct Standing {
+    bool open = true;                 // all that it needs are done
+    bool orphaned = false;            // one before it is cancelled
+    bool needed = false;              // others wait for it
+    std::int64_t since_ms = 0;        // when the last job that it needs was done, 0: it needs none
+    Rank rank = Rank::Low;            // the highest of those that need it
+    std::int64_t due_ms = INT64_MAX;  // by when it has to be done for the sake of those
+};
+
+class Pipelines {
+  public:
+    enum class Fate { Unknown, Open, Done, Cancelled };
+    struct Known {
+        Fate fate = Fate::Unknown;
+        std::int64_t ended_ms = 0;
+    };
+    using Lookup = std::function<Known(const std::string& ref)>;
+
+    /// A job that is not over, when it is first heard of.
+    void put(const JobSpec& spec, std::int64_t submitted_ms, const Lookup& lookup);
+    /// A job that is over: done, or cancelled.
+    void over(const std::string& ref, bool done, std::int64_t ended_ms);
+    Standing standing(const std::string& ref) const;
+    /// How a job would stand that has not been admitted yet.
+    static Standing preview(const JobSpec& spec, const Lookup& lookup);
+
+    /// Jobs that are needed and of which nothing is known here: their records must be read.
+    const std::set<std::string>& unknown() const { return unknown_; }
+    /// Whether it is not clear yet if the job is cancelled.
+    bool unclear(const std::string& ref) const;
+    /// Which cancelled job a job is cancelled with, and what it still waits for.
+    std::string cancelled_with(const std::string& ref) const;
+    std::vector<std::string> waits_for(const std::string& ref) const;
+
+    /// Ranks and deadlines flow backwards; to be called now and then.
+    void weigh();
+    /// Jobs whose standing has changed since this was last asked.
+    std::set<std::string> take_changed() { return std::exchange(changed_, {}); }
+    bool changed() const { return !changed_.empty(); }
+    /// All that wait for others.
+    std::vector<std::string> waiting() const;
+
+  private:
+    struct Node {
+        bool live = false;  // heard of itself; false: only needed by others
+        std::set<std::string> waits;
+        std::set<std::string> dependents;
+        bool orphaned = false;
+        std::string with;  // the cancelled job
+        std::int64_t since_ms = 0;
+        Rank own_rank = Rank::Low;
+        std::int64_t own_due_ms = INT64_MAX;
+        Micros estimate = 0;
+        Rank rank = Rank::Low;
+        std::int64_t due_ms = INT64_MAX;
+    };
+    void orphan(const std::string& ref, const std::string& with);
+    void drop_if_idle(const std::string& ref);
+
+    std::map<std::string, Node> nodes_;
+    std::set<std::string> unknown_;
+    std::set<std::string> changed_;
+    bool weigh_due_ = false;
+};
+
+}  // namespace cottonway
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -77,7 +77,7 @@
 /// Where fetching the image would take longer than the operators' aim allows a service to wait, room is made
 /// on a machine that has it, rather than a fetch begun elsewhere; but for no longer than that can help.
 bool Owner::holds_out(const Job& job) const {
-    if (job.spec.rank != Rank::Production || job.no_holding_out) return false;
+    if (job.rank != Rank::Production || job.no_holding_out) return false;
     const auto goals = context_.settings().goals("wait", job.spec.job_class);
     if (goals.empty()) return false;
     const Micros waited = context_.host().now() - job.waiting_since;
@@ -117,7 +117,7 @@
 bool Owner::can_be_late(const Job& job) const {
     const auto goals = context_.settings().goals("finished", job.spec.job_class);
     if (goals.empty()) return false;
-    const Micros age = (context_.host().wall_ms() - job.submitted_ms) * kMillisecond;
+    const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
     const Micros needs = job.spec.estimate + job.spec.estimate / 3;  // the slowest of several tasks
     if (age + needs <= goals.front()) return false;
     return goals.size() == 1 || age + needs < goals.back() * 3 / 4;
@@ -127,7 +127,7 @@
 /// and for idle work the ordinary ones, which others may wait for that can use no other.
 bool Owner::keeps_off(const Job& job, const Machine& m) const {
     if (job.failed_on.count(m.name)) return true;
-    return job.spec.rank == Rank::Low && job.spec.spot && !m.spot && spot_machines_ > 0;
+    return job.rank == Rank::Low && job.spec.spot && !m.spot && spot_machines_ > 0;
 }
 
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
@@ -148,7 +148,7 @@
                 c.image_ready = image.ready;
             }
         // Urgent work without its image starts where that comes soonest.
-        if (job.spec.rank <= Rank::High)
+        if (job.rank <= Rank::High)
             c.penalty += kFetchPenalty * static_cast<double>(fetch_time(job, *m)) / 1e6;
         list.push_back(c);
         machines.push_back(m.get());
@@ -173,8 +173,7 @@
     };
     std::vector<Image> order{Image::Any};
     // Idle work stays together where its image is, so that one report and one change settle many tasks.
-    if (job.spec.rank <= Rank::High || job.spec.rank == Rank::Low)
-        order = {Image::Ready, Image::Fetching, Image::Any};
+    if (job.rank <= Rank::High || job.rank == Rank::Low) order = {Image::Ready, Image::Fetching, Image::Any};
     if (ready_only) order = {Image::Ready};
     for (const Image image : order) {
         std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
@@ -192,15 +191,15 @@
     std::vector<Job*> order;
     for (auto& [ref, job] : jobs_) {
         if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
+        // The gate: every bind comes from here, and nothing of a job starts before all that it needs are
+        // done.
+        if (!job->open) continue;
         if (job->held && (now < job->try_after || job->bound > 0)) continue;
-        if (job->spec.rank == Rank::Low && (!idle_turn || now < job->idle_turn)) continue;
+        if (job->rank == Rank::Low && (!idle_turn || now < job->idle_turn)) continue;
         job->within_guarantee = context_.within_guarantee(ref);
         order.push_back(job.get());
     }
     // Highest rank first, then what is guaranteed, then the nearest deadline.
-    auto due = [](const Job* j) {
-        return j->spec.deadline ? j->submitted_ms + *j->spec.deadline / kMillisecond : INT64_MAX;
-    };
     // Among equals the least work left goes first, so that one wide array does not hold up many small jobs;
     // waiting makes up for size, so that none waits for ever.
     const std::int64_t now_ms = context_.host().wall_ms();
@@ -208,7 +207,7 @@
         const auto left = static_cast<double>(j->idle + j->bound) *
                           static_cast<double>(std::max<Milli>(j->spec.need.cores, 1)) *
                           static_cast<double>(std::max<Micros>(j->spec.estimate, kSecond)) / 1e6;
-        return left / static_cast<double>(std::max<std::int64_t>(now_ms - j->submitted_ms, 0) + 10'000);
+        return left / static_cast<double>(std::max<std::int64_t>(now_ms - j->since_ms, 0) + 10'000);
     };
     struct Weighed {
         Job* job;
@@ -219,7 +218,7 @@
     for (Job* j : order) weighed.push_back({j, can_be_late(*j), weight(j)});
     std::stable_sort(weighed.begin(), weighed.end(), [&](const auto& a, const auto& b) {
         auto key = [&](const Weighed& w) {
-            return std::tuple(w.job->spec.rank, !w.job->within_guarantee, due(w.job), w.late, w.weight);
+            return std::tuple(w.job->rank, !w.job->within_guarantee, w.job->due_ms, w.late, w.weight);
         };
         return key(a) < key(b);
     });
@@ -227,7 +226,7 @@
     no_room_.clear();
     if (idle_turn) weigh_idle_room();
     idle_bound_ = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
-        return j.second->spec.rank == Rank::Low && j.second->bound > 0;
+        return j.second->rank == Rank::Low && j.second->bound > 0;
     });
     short_of_share_.clear();
     claimed_.clear();
@@ -236,14 +235,14 @@
     if (preempts) preempted_at_ = now;
     for (Job* job : order)
         if (!plan_job(*job) && preempts && !job->held &&
-            (now - job->waiting_since > kPreemptAfter || job->spec.rank == Rank::Production))
+            (now - job->waiting_since > kPreemptAfter || job->rank == Rank::Production))
             preempt(*job);
 }
 
 /// Whether stopping a task would make its job miss an aim that it can still make.
 bool Owner::spoils(const Job& job, Micros ran) const {
     const auto goals = context_.settings().goals("finished", job.spec.job_class);
-    const Micros age = (context_.host().wall_ms() - job.submitted_ms) * kMillisecond;
+    const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
     const Micros left = std::max<Micros>(job.spec.estimate * 6 / 5 - ran, 2 * kSecond);
     return std::any_of(goals.begin(), goals.end(),
                        [&](Micros goal) { return age + left <= goal && age + left + kSetBack > goal; });
@@ -266,7 +265,7 @@
         candidates = candidates_for(job, false, machines);
     }
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
-    if (job.spec.rank == Rank::Low) job.idle_turn = now + idle_pause(job);
+    if (job.rank == Rank::Low) job.idle_turn = now + idle_pause(job);
 
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
@@ -295,7 +294,7 @@
             missing.cards += job.spec.need.cards * job.idle;
             return true;
         }
-        if (job.spec.rank == Rank::Low) {
+        if (job.rank == Rank::Low) {
             if (idle_room_ < job.spec.need.cores || idle_starts_.take(now, 1) > 0) return true;
             idle_room_ -= job.spec.need.cores;
         }
@@ -402,19 +401,18 @@
     // Stopping work that cannot save itself throws it away. Services may always do that; others only when
     // their deadline is near, or when a guarantee has been waited for.
     const std::int64_t now_ms = context_.host().wall_ms();
-    const bool late = job.spec.deadline && now_ms + (job.spec.estimate * 5 / 4 + 3 * kSecond) / kMillisecond >
-                                               job.submitted_ms + *job.spec.deadline / kMillisecond;
-    const bool may_waste = job.spec.rank == Rank::Production || (job.spec.rank == Rank::High && late);
+    const bool late = now_ms + (job.spec.estimate * 5 / 4 + 3 * kSecond) / kMillisecond > job.due_ms;
+    const bool may_waste = job.rank == Rank::Production || (job.rank == Rank::High && late);
     const bool reclaims = job.within_guarantee && now - job.waiting_since > 2 * kSecond;
     // Work of normal rank makes room only where idle work is.
-    if (job.spec.rank > Rank::High && !reclaims && (job.spec.rank == Rank::Low || !idle_bound_)) return;
+    if (job.rank > Rank::High && !reclaims && (job.rank == Rank::Low || !idle_bound_)) return;
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
     // Where the operators want the tasks started soon, room is made for all of them.
     const auto goals = context_.settings().goals("wait", job.spec.job_class);
     // Stopping idle work costs next to nothing.
-    const bool idle_only = job.spec.rank > Rank::High && !reclaims;
-    const int most = job.spec.rank == Rank::Production || !goals.empty() || idle_only ? job.idle : 1;
+    const bool idle_only = job.rank > Rank::High && !reclaims;
+    const int most = job.rank == Rank::Production || !goals.empty() || idle_only ? job.idle : 1;
     const bool hurries = !goals.empty() && now - job.waiting_since < goals.front();
     const bool ready_only = holds_out(job);
     for (int waiting = 1; waiting <= most && preemptions_left_ > 0; ++waiting) {
@@ -468,12 +466,11 @@
             continue;
         }
         if (other->spec.kind == JobKind::Gang) continue;
-        const bool lower = other->spec.rank == Rank::Low
-                               ? job.spec.rank < Rank::Low
-                               : job.spec.rank <= Rank::High && other->spec.rank > job.spec.rank &&
-                                     (may_waste || other->spec.checkpoint > 0);
+        const bool lower = other->rank == Rank::Low ? job.rank < Rank::Low
+                                                    : job.rank <= Rank::High && other->rank > job.rank &&
+                                                          (may_waste || other->spec.checkpoint > 0);
         // What ranks higher would only come back to the same room, and be stopped again.
-        const bool reclaim = reclaims && other->spec.rank >= job.spec.rank && !other->within_guarantee &&
+        const bool reclaim = reclaims && other->rank >= job.rank && !other->within_guarantee &&
                              other->spec.team != job.spec.team;
         if (!lower && !reclaim) continue;
         if (other->spec.kind == JobKind::Service && !reclaim) continue;
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kMaxViews = 20'000;
+constexpr std::size_t kMaxReading = 4;
 constexpr int kMaxAbortTries = 8;
 constexpr Micros kPatience = 4 * kSecond;      // of workers; users wait for 5 s
 constexpr Micros kPollPatience = 2 * kSecond;  // of users who poll
@@ -107,7 +108,7 @@
 void Controller::submit(const Value& body, ApiResponder respond) {
     auto parsed = wire::parse_job(body);
     const Verdict verdict = parsed.spec ? judge(*parsed.spec) : Verdict::Never;
-    if (verdict == Verdict::Fits && !known(parsed.spec->ref))
+    if (verdict == Verdict::Fits && !known(parsed.spec->ref) && parsed.spec->needs.empty())
         return create(std::move(*parsed.spec), std::move(respond));
     const auto ref = wire::ref_of(body);
     if (!ref) return respond({400, Value{{"error", parsed.error}}});
@@ -119,10 +120,97 @@
         if (!parsed.spec) return respond({400, Value{{"error", parsed.error}}});
         if (verdict == Verdict::Never) return respond({422, Value{{"error", "can never run"}}});
         if (verdict == Verdict::NotYet) return respond(unavailable(2));
+        if (!parsed.spec->needs.empty()) return resolve(std::move(*parsed.spec), std::move(respond));
         create(std::move(*parsed.spec), std::move(respond));
     });
 }
 
+/// What it needs must have been accepted, by whatever node and however long ago. That is proven by the store,
+/// where this node does not know the job.
+void Controller::resolve(JobSpec spec, ApiResponder respond) {
+    // As long as a controller may be of the version before, it would lose what the job waits for.
+    if (!all_new_) return respond(unavailable(2));
+    auto never = [](const std::string& ref) {
+        return ApiResponse{422, Value{{"error", "was never accepted: " + ref}}};
+    };
+    if (std::find(spec.needs.begin(), spec.needs.end(), spec.ref) != spec.needs.end())
+        return respond(never(spec.ref));
+    std::vector<std::string> unsure;
+    for (const auto& need : spec.needs)
+        if (!known(need) && !live_jobs_.count(need)) unsure.push_back(need);
+    if (unsure.empty()) return create(std::move(spec), std::move(respond));
+    struct Asked {
+        JobSpec spec;
+        ApiResponder respond;
+        std::size_t missing = 0;
+        bool ok = true;
+        std::string never;
+    };
+    auto asked = std::make_shared<Asked>(Asked{std::move(spec), std::move(respond), unsure.size(), true, ""});
+    for (const auto& need : unsure)
+        check(need, [this, asked, need, never](bool ok, const std::optional<JobView>& view) {
+            asked->ok = asked->ok && ok;
+            if (ok && !view) asked->never = need;
+            if (--asked->missing > 0) return;
+            if (!asked->never.empty()) return asked->respond(never(asked->never));
+            if (!asked->ok) return asked->respond(unavailable());
+            create(std::move(asked->spec), std::move(asked->respond));
+        });
+}
+
+/// What has become of a job that another one needs.
+Pipelines::Known Controller::fate(const std::string& ref) const {
+    if (const JobView* view = known(ref); view && view->final())
+        return {view->stage == Stage::Done ? Pipelines::Fate::Done : Pipelines::Fate::Cancelled,
+                view->ended_ms};
+    if (auto live = live_jobs_.find(ref); live != live_jobs_.end())
+        return {live->second.cancelled ? Pipelines::Fate::Cancelled : Pipelines::Fate::Open, 0};
+    // Known only from having been asked after: it may be over without having been in the news.
+    return {};
+}
+
+/// Passes on what has changed for jobs that need others, or are needed.
+void Controller::settle_pipelines() {
+    for (const auto& ref : pipelines_.take_changed()) {
+        const Standing s = pipelines_.standing(ref);
+        auto live = live_jobs_.find(ref);
+        if (live != live_jobs_.end()) {
+            LiveJob& job = live->second;
+            if (s.orphaned && !job.cancelled) {
+                job.cancelled = true;
+                spdlog::info("job {}: cancelled with {}", ref, pipelines_.cancelled_with(ref));
+                if (const JobView* view = known(ref)) {
+                    JobView next = *view;
+                    next.stage = Stage::Cancelled;
+                    next.running = 0;
+                    remember(ref, next);
+                }
+            }
+            if (s.open && !std::exchange(job.open, true)) {
+                if (s.since_ms > 0) job.since_ms = std::max(job.since_ms, s.since_ms);
+                spdlog::info("job {}: all that it needs are done, its gate is open", ref);
+            }
+            guarantees_due_ = true;
+        }
+        for (auto& [name, owner] : owners_)
+            if (owner && owner->active()) owner->reconsider(ref);
+    }
+}
+
+/// Jobs that are needed may be long over, and forgotten here.
+void Controller::read_unknown() {
+    if (!loaded_ || out_of_reach()) return;
+    for (const auto& ref : pipelines_.unknown()) {
+        if (reading_.size() >= kMaxReading) return;
+        if (!reading_.insert(ref).second) continue;
+        store_.read(keys::job + ref, [this, ref](const ReadResult& r) {
+            // One that is not there any more than it was before is asked after again.
+            host_.after(r.ok && r.found ? 0 : kSecond, [this, ref] { reading_.erase(ref); });
+            if (r.ok && r.found) apply(keys::job + ref, &r.value, r.mark);
+        });
+    }
+}
+
 void Controller::create(JobSpec spec, ApiResponder respond) {
     if (!store_.reachable()) return respond(unavailable());
     // Names of types that don't exist would only fill the record.
@@ -133,6 +221,7 @@
     const std::string ref = spec.ref;
     const std::string domain = domain_for(spec);
     if (domain.empty()) return respond(unavailable());
+    const Standing standing = Pipelines::preview(spec, [this](const auto& need) { return fate(need); });
     const std::string what = spec.job_class + ", " + std::to_string(spec.tasks) + " tasks of about " +
                              std::to_string(spec.estimate / kSecond) + " s for " + spec.team + ", in " +
                              domain;
@@ -143,6 +232,8 @@
                 apply(keys::job + ref, &a.record, a.revision);
                 spdlog::info("job {}: accepted in {} ms: {}", ref, (host_.now() - asked) / kMillisecond,
                              what);
+                if (const JobView* view = known(ref); view && view->final())
+                    return respond({201, wire::job_answer(ref, stage_name(*view))});
                 return respond({201, wire::job_answer(ref, "pending")});
             case CommitStatus::Conflict:
             case CommitStatus::Unknown:
@@ -157,10 +248,13 @@
     };
     const bool idle = spec.rank == Rank::Low;
     // In a domain of ours the change that admits the job binds its tasks as well.
-    if (Owner* o = owner(domain); o && o->active()) return o->admit(std::move(spec), host_.wall_ms(), answer);
+    if (Owner* o = owner(domain); o && o->active() && !standing.orphaned)
+        return o->admit(std::move(spec), host_.wall_ms(), standing, answer);
     Value record{{"s", "queued"},         {"dom", domain},
                  {"k", spec.tasks},       {"d", wire::job_value(spec)},
                  {"at", host_.wall_ms()}, {"ps", part_tasks_for(settings_.value_bytes, size + kRecordBytes)}};
+    // Cancelled with one before it already: accepted, and over.
+    if (standing.orphaned) record = {{"s", "cancelled"}, {"dom", domain}, {"k", spec.tasks}, {"fd", 0}};
     Change change;
     change.when.push_back({keys::job + ref, 0});
     change.then.push_back({keys::job + ref, record});
@@ -257,10 +351,10 @@
     if (view && view->final()) return done(true, *view);
     if (out_of_reach()) return done(false, std::nullopt);
     if (view) {
-        // The next look at the store proves that what is known then is current.
+        // The next look at the store proves that what is known then is current, also of the jobs before it.
         after_sync([this, ref, done = std::move(done)](bool ok) {
             const JobView* now = known(ref);
-            if (!ok || !now) return done(false, std::nullopt);
+            if (!ok || !now || pipelines_.unclear(ref)) return done(false, std::nullopt);
             done(true, *now);
         });
         return;
@@ -283,6 +377,12 @@
         }
         if (!r.found) return done(true, std::nullopt);
         const JobView view = JobView::of(r.value, r.mark);
+        const Value* spec = wire::find(r.value, "d");
+        if (!view.final() && spec && wire::find(*spec, "warp")) {
+            // Whether one before it is cancelled is not in its record.
+            apply(keys::job + ref, &r.value, r.mark);
+            return check(ref, std::move(done));
+        }
         const JobView* old = known(ref);
         if (!old || old->mark < r.mark) remember(ref, view);
         done(true, view);
@@ -314,6 +414,13 @@
 /// Production work stops other work where it must, so for it only other production work counts. Before any
 /// machines are known, any domain.
 std::string Controller::domain_for(const JobSpec& spec) {
+    // With what it needs: there the change that ends that can begin this.
+    for (const auto& need : spec.needs) {
+        auto live = live_jobs_.find(need);
+        if (live == live_jobs_.end()) continue;
+        auto at = domains_.find(live->second.domain);
+        if (at != domains_.end() && live_.count(at->second.holder)) return at->first;
+    }
     const Milli need = spec.need.cores * spec.tasks;
     std::vector<std::string> all;
     std::string best;
--- a/src/standin/standins.cpp
+++ b/src/standin/standins.cpp
@@ -105,7 +105,7 @@
         }
         return {200, Value{{"pairs", std::move(pairs)}, {"has_next", more}, {"ledger", ledger_}}};
     }
-    if (method == "POST" && path == "/commit") return commit(body);
+    if (method == "POST" && path == "/commit") return commit(body, now);
     if (method == "POST" && path == "/grants") {
         const auto ttl = static_cast<Micros>(wire::count(body, "ttl_ms").value_or(0)) * kMillisecond;
         leases_[next_lease_] = {ttl, now + ttl};
@@ -120,7 +120,23 @@
     return {400, Value::object()};
 }
 
-Reply StateService::commit(const Value& body) {
+Reply StateService::commit(const Value& body, Micros now) {
+    const Value* ops = wire::find(body, "then");
+    const Value* conditions = wire::find(body, "when");
+    const std::size_t count = ops ? ops->size() : 0;
+    if (count > limits.txn_ops || (conditions && conditions->size() > 4 * limits.txn_ops))
+        return {400, Value{{"error", "too many operations"}}};
+    for (std::size_t i = 0; i < count; ++i)
+        if (const Value* data = wire::find((*ops)[i], "data");
+            data && data->dump().size() > limits.value_bytes)
+            return {400, Value{{"error", "value too large"}}};
+    if (limits.write_rps > 0 && count > 0) {
+        writes_left_ = std::min(
+            limits.write_rps, writes_left_ + limits.write_rps * static_cast<double>(now - writes_at_) / 1e6);
+        writes_at_ = now;
+        if (writes_left_ < static_cast<double>(count)) return {429, Value::object()};
+        writes_left_ -= static_cast<double>(count);
+    }
     Value failed = Value::array();
     if (const Value* when = wire::find(body, "when"))
         for (const auto& c : *when) {
--- a/src/standin/standins.hpp
+++ b/src/standin/standins.hpp
@@ -27,6 +27,13 @@
     void set_down(bool down, Micros now);
     void expire(Micros now);
     bool down() const { return down_; }
+    /// What it takes; more is answered 400, and changes beyond the rate 429. They may be lowered at any time.
+    struct Limits {
+        std::size_t value_bytes = 64 * 1024;
+        std::size_t txn_ops = 1000;
+        double write_rps = 0;  // 0: any
+    };
+    Limits limits;
 
   private:
     struct Item {
@@ -43,7 +50,7 @@
         Value value;  // null: dropped
         std::uint64_t mark = 0;
     };
-    Reply commit(const Value& body);
+    Reply commit(const Value& body, Micros now);
     void drop_lease(std::uint64_t id);
     void note(const std::string& key, const Value& value);
 
@@ -53,6 +60,8 @@
     std::uint64_t ledger_ = 1;
     std::uint64_t next_lease_ = 1;
     bool down_ = false;
+    double writes_left_ = 0;
+    Micros writes_at_ = 0;
 };
 
 /// What a worker needs to know of a job; users upload it.
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -10,6 +10,7 @@
 constexpr int kMaxDepth = 24;
 constexpr std::size_t kMaxText = 256;
 constexpr std::size_t kMaxTypes = 64;
+constexpr std::size_t kMaxNeeds = 1000;
 constexpr double kMaxAmount = 1e9;
 
 /// Builds the value, but gives up on nesting that would exhaust the stack.
@@ -258,6 +259,14 @@
         if (!v) return bad("due_s");
         s.deadline = micros(*v);
     }
+    if (const Value* needs = find(body, "warp")) {
+        if (!needs->is_array() || needs->size() > kMaxNeeds) return bad("warp");
+        for (const auto& n : *needs) {
+            if (!n.is_string() || !valid_ref(n.get_ref<const std::string&>())) return bad("warp");
+            const auto ref = n.get<std::string>();
+            if (std::find(s.needs.begin(), s.needs.end(), ref) == s.needs.end()) s.needs.push_back(ref);
+        }
+    }
     return {std::move(s), ""};
 }
 
@@ -283,6 +292,7 @@
     if (s.types) v["looms"] = *s.types;
     if (s.zone) v["mill"] = *s.zone;
     if (s.deadline) v["due_s"] = seconds(*s.deadline);
+    if (!s.needs.empty()) v["warp"] = s.needs;
     return v;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -36,6 +36,7 @@
     Micros checkpoint = 0;
     Micros save = 0;
     std::optional<Micros> deadline;
+    std::vector<std::string> needs;  // jobs that have to be done before any task of this one starts
 };
 
 enum class Phase { Fetching, Waiting, Running, Saving, Exited };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -14,6 +14,11 @@
 /// hold all machines.
 Settings site(int seed) {
     Settings s = small_site();
+    if (seed % 3 == 0) {
+        s.value_bytes = 1024;
+        s.txn_ops = 4;
+        s.next_write_rps = 150;
+    }
     if (seed % 2 == 0) s.cpu_share = 0.001;
     if (seed % 4 == 0) s.state_write_rps = 25;
     return s;
@@ -27,9 +32,52 @@
         w.add_machine(i % 3 == 0 ? "large" : "small", i % 2 ? "a" : "b", i % 6 >= 4);
     w.cloud().capacity = 6;
     w.loss = pick(3) == 0 ? 0.01 : 0;
-    w.start_nodes();
+    // Every third world begins with the version before, and is brought up to date one by one, with ends out
+    // of turn; pipelines come when that is over. Later its state service lowers its limits.
+    const bool rolls = GetParam() % 3 == 0;
+    if (rolls) {
+        w.start_nodes(3, {0, 1, 2});
+        for (int i = 0; i < 3; ++i)
+            w.at((10 + 8 * i) * kSecond,
+                 [&w, i, pick] { w.upgrade(i, static_cast<Micros>(500 + pick(3000)) * kMillisecond); });
+        w.at(60 * kSecond, [&w] {
+            w.note("the state service lowers its limits");
+            w.state().limits = {w.settings.value_bytes, w.settings.txn_ops, w.settings.next_write_rps};
+        });
+    } else {
+        w.start_nodes();
+    }
     const Micros end = 150 * kSecond;
     int number = 1;
+    // Pipelines: each job is submitted as soon as those that it needs are accepted.
+    std::function<void(std::vector<JobSpec>)> submit_chain = [&](std::vector<JobSpec> chain) {
+        if (chain.empty()) return;
+        const bool ready = std::all_of(chain.front().needs.begin(), chain.front().needs.end(),
+                                       [&](const auto& need) { return !w.told(need).empty(); });
+        if (ready) {
+            w.submit(chain.front(), static_cast<Micros>(1000 + pick(4000)) * kMillisecond, 300 * kMillisecond,
+                     pick(20) == 0);
+            if (pick(12) == 0)
+                w.at(w.now() + static_cast<Micros>(pick(12000)) * kMillisecond,
+                     [&w, ref = chain.front().ref] { w.cancel(ref); });
+            chain.erase(chain.begin());
+        }
+        w.at(w.now() + 300 * kMillisecond, [&submit_chain, chain] { submit_chain(chain); });
+    };
+    for (Micros t = (rolls ? 40 : 6) * kSecond; t < end - 50 * kSecond; t += 7 * kSecond) {
+        w.at(t, [&w, &number, &submit_chain, pick] {
+            std::vector<JobSpec> chain;
+            for (int i = 0, stages = 2 + pick(4); i < stages; ++i) {
+                JobSpec s = w.job(number++, pick(4) == 0 ? JobKind::Gang : JobKind::Array, 1 + pick(3));
+                s.rank = i + 1 == stages ? Rank::High : pick(2) ? Rank::Low : Rank::Normal;
+                if (i + 1 == stages) s.deadline = 40 * kSecond;
+                for (const auto& before : chain)
+                    if (&before == &chain.back() || pick(3) == 0) s.needs.push_back(before.ref);
+                chain.push_back(s);
+            }
+            submit_chain(chain);
+        });
+    }
     for (Micros t = 2 * kSecond; t < end; t += static_cast<Micros>(500 + pick(3000)) * kMillisecond) {
         w.at(t, [&w, &number, pick] {
             const JobKind kind = pick(4) == 0   ? JobKind::Service
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -289,8 +289,10 @@
 
 // ---------------------------------------------------------------- nodes and machines
 
-void World::start_nodes(int count) {
+void World::start_nodes(int count, std::set<int> old) {
     nodes_.resize(static_cast<std::size_t>(count));
+    for (int i : old) nodes_[static_cast<std::size_t>(i)].old = true;
+    state_.limits = {settings.value_bytes_now, std::max<std::size_t>(settings.txn_ops, 8), 0};
     for (int i = 0; i < count; ++i) start_node(i);
 }
 
@@ -304,11 +306,18 @@
                                "",
                                {"10.0.0." + std::to_string(p + 1), static_cast<std::uint16_t>(8081)}});
     s.zone = settings.zones[static_cast<std::size_t>(i) % settings.zones.size()];
+    s.announces_format = !n.old;
     n.host = std::make_shared<NodeHost>(*this, i, random());
     n.controller = std::make_unique<Controller>(*n.host, s);
     n.controller->start();
 }
 
+void World::upgrade(int i, Micros back_after) {
+    note("loom-" + std::to_string(i) + " is brought up to date");
+    nodes_[static_cast<std::size_t>(i)].old = false;
+    crash(i, back_after);
+}
+
 void World::crash(int i, Micros back_after) {
     Node& n = nodes_[static_cast<std::size_t>(i)];
     if (!n.controller) return;
@@ -557,7 +566,10 @@
         breach("went_back", ref + " was " + u.told + " and is now called " + stage);
     if (stage == "done" && static_cast<int>(u.done.size()) < u.info.spec.tasks)
         breach("not_done", ref + " is called done");
-    if (stage == "cancelled" && !u.wants_cancel) breach("went_back", ref + " was cancelled by nobody");
+    if (stage == "cancelled" && !cancel_wanted(ref)) breach("went_back", ref + " was cancelled by nobody");
+    if (const Micros told = cancel_told(ref);
+        stage != "cancelled" && stage != "done" && told > 0 && sent > told + settings.cancel)
+        breach("orphaned", ref + " is still called " + stage);
     if (u.told.empty() || stage == "done" || stage == "cancelled") {
         const std::string next = stage == "done" || stage == "cancelled" ? stage : "accepted";
         if (u.told != next) note("user is told: " + ref + " is " + next);
@@ -627,6 +639,20 @@
     return out;
 }
 
+bool World::cancel_wanted(const std::string& ref) const {
+    const User& u = users_.at(ref);
+    return u.wants_cancel || std::any_of(u.info.spec.needs.begin(), u.info.spec.needs.end(),
+                                         [this](const auto& need) { return cancel_wanted(need); });
+}
+
+Micros World::cancel_told(const std::string& ref) const {
+    const User& u = users_.at(ref);
+    if (u.told == "cancelled") return u.cancelled_at;
+    for (const auto& need : u.info.spec.needs)
+        if (const Micros told = cancel_told(need)) return told;
+    return 0;
+}
+
 void World::breach(const std::string& rule, const std::string& what) {
     note("BROKEN " + rule + ": " + what);
     broken.push_back(rule + ": " + what);
@@ -642,6 +668,9 @@
     const JobSpec& s = u.info.spec;
     ++u.starts;
     note(ref + "/" + std::to_string(task) + " attempt " + std::to_string(attempt) + " starts on " + machine);
+    for (const auto& need : s.needs)
+        if (static_cast<int>(users_.at(need).done.size()) < users_.at(need).info.spec.tasks)
+            breach("too_early", ref + " starts before " + need + " is done");
     auto& where = on_[{ref, task}];
     if (!where.empty())
         breach("ran_twice", ref + "/" + std::to_string(task) + " is on " + where.begin()->first);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -30,7 +30,9 @@
 
     // What the world consists of.
     std::string add_machine(const std::string& type, const std::string& zone, bool spot = false);
-    void start_nodes(int count = 3);
+    /// `old`: nodes that run the version before, which does not say that it reads more, until `upgrade`.
+    void start_nodes(int count = 3, std::set<int> old = {});
+    void upgrade(int node, Micros back_after);
     void crash(int node, Micros back_after);
     Controller* node(int i) { return nodes_[static_cast<std::size_t>(i)].controller.get(); }
     int node_count() const { return static_cast<int>(nodes_.size()); }
@@ -100,6 +102,7 @@
         std::shared_ptr<NodeHost> host;
         std::unique_ptr<Controller> controller;
         bool refused = false;
+        bool old = false;
         bool frozen = false;
         std::vector<std::function<void()>> due;     // timers, while it stands still
         std::vector<std::function<void()>> unread;  // what waits in its sockets
@@ -140,6 +143,9 @@
                    std::function<void(ApiResponse)> done);
     void hear(const std::string& ref, Micros sent, const Value& body);
     void breach(const std::string& rule, const std::string& what);
+    /// A job before this one, or the job itself, whose cancellation its user asked for, or was told of.
+    bool cancel_wanted(const std::string& ref) const;
+    Micros cancel_told(const std::string& ref) const;
     Micros delay();
 
     Micros now_ = 0;
