--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -25,4 +25,11 @@
     return code;
 }
 
+int submit(const Endpoint& to, const Value& jobs) {
+    if (!jobs.is_array()) return request(to, "POST", "/v1/jobs", jobs);
+    for (const auto& job : jobs)
+        if (const int code = request(to, "POST", "/v1/jobs", job); code != 0) return code;
+    return 0;
+}
+
 }  // namespace cottonway::cli
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -345,7 +345,7 @@
                 // Each part is written on the condition that the job's record stays as it is.
                 if (p == 0 ? busy : job->parts[0].in_flight || job->parts[0].reloading) continue;
                 if (now - part.dirty_since < gathers(*job, part.binding > 0)) continue;
-                const bool can_wait = job->rank == Rank::Low && now - part.dirty_since < kIdlePatience;
+                const bool can_wait = job->leftover() && now - part.dirty_since < kIdlePatience;
                 const Priority priority = part.binding == 0 || can_wait ? Priority::Deferrable
                                           : job->rank <= Rank::High     ? Priority::Urgent
                                                                         : Priority::Normal;
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -195,7 +195,9 @@
 
     /// Tasks that wait for room. Those of a job that is taken to be broken don't, and idle work takes what is
     /// left over: neither moves machines or shares, or keeps other jobs away.
-    int waiting() const { return stage == Stage::Queued && open && !held && rank != Rank::Low ? idle : 0; }
+    int waiting() const { return stage == Stage::Queued && open && !held && !leftover() ? idle : 0; }
+    /// Takes what is left over. Idle work within its team's guarantee need not wait for other teams.
+    bool leftover() const { return rank == Rank::Low && !within_guarantee; }
 
     Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
     /// Nothing of it is left to run, to stop or to wait for.
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -127,7 +127,7 @@
 /// and for idle work the ordinary ones, which others may wait for that can use no other.
 bool Owner::keeps_off(const Job& job, const Machine& m) const {
     if (job.failed_on.count(m.name)) return true;
-    return job.rank == Rank::Low && job.spec.spot && !m.spot && spot_machines_ > 0;
+    return job.leftover() && job.spec.spot && !m.spot && spot_machines_ > 0;
 }
 
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
@@ -195,8 +195,8 @@
         // done.
         if (!job->open) continue;
         if (job->held && (now < job->try_after || job->bound > 0)) continue;
-        if (job->rank == Rank::Low && (!idle_turn || now < job->idle_turn)) continue;
         job->within_guarantee = context_.within_guarantee(ref);
+        if (job->leftover() && (!idle_turn || now < job->idle_turn)) continue;
         order.push_back(job.get());
     }
     // Highest rank first, then what is guaranteed, then the nearest deadline.
@@ -265,7 +265,7 @@
         candidates = candidates_for(job, false, machines);
     }
     if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
-    if (job.rank == Rank::Low) job.idle_turn = now + idle_pause(job);
+    if (job.leftover()) job.idle_turn = now + idle_pause(job);
 
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
@@ -294,7 +294,7 @@
             missing.cards += job.spec.need.cards * job.idle;
             return true;
         }
-        if (job.rank == Rank::Low) {
+        if (job.leftover()) {
             if (idle_room_ < job.spec.need.cores || idle_starts_.take(now, 1) > 0) return true;
             idle_room_ -= job.spec.need.cores;
         }
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -128,6 +128,36 @@
     EXPECT_RULES(*w);
 }
 
+TEST(Pipelines, CancelledIsInheritedBeforeAndWhateverTheRecordSays) {
+    auto w = calm(13);
+    w->submit(w->job(1, JobKind::Array, 2), 30 * kSecond);
+    w->run(kSecond);
+    w->submit(needing(*w, 2, {"req-000001"}), kSecond);
+    w->run(2 * kSecond);
+    // The holder of its domain can't write, so the record stays as it is.
+    const int holder = holder_of(*w, "req-000002");
+    w->refuse(holder, true);
+    auto stage = [&](int node) {
+        return wire::text(w->ask(node, "GET", "/v1/jobs/req-000002", {}).body, "stage").value_or("");
+    };
+    const int one = (holder + 1) % 3, other = (holder + 2) % 3;
+    EXPECT_EQ(w->ask(one, "POST", "/v1/jobs/req-000001/abort", {}).status, 200);
+    EXPECT_EQ(stage(other), "cancelled");
+    EXPECT_EQ(stage(one), "cancelled");
+    // A change of the record that was on its way, by a holder that has not heard of it.
+    auto stored = w->state().handle("GET", "/store/c/job/req-000002", Value(), w->now()).body;
+    ASSERT_EQ(stored["data"]["s"], "queued");
+    w->state().handle(
+        "POST", "/commit",
+        Value{{"when", Value::array()},
+              {"then", Value::array({Value{{"write", "c/job/req-000002"}, {"data", stored["data"]}}})}},
+        w->now());
+    w->run(300 * kMillisecond);
+    EXPECT_EQ(stage(other), "cancelled");
+    w->run(12 * kSecond);
+    EXPECT_FALSE(w->node(other)->live_jobs().count("req-000002")) << "its record has followed";
+}
+
 TEST(Pipelines, CancelledIsInheritedThroughDeathsBeforeAnyRecordFollows) {
     auto w = calm(5);
     w->submit(w->job(1, JobKind::Array, 2), 20 * kSecond);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -57,7 +57,7 @@
         if (ready) {
             w.submit(chain.front(), static_cast<Micros>(1000 + pick(4000)) * kMillisecond, 300 * kMillisecond,
                      pick(20) == 0);
-            if (pick(12) == 0)
+            if (pick(5) == 0)
                 w.at(w.now() + static_cast<Micros>(pick(12000)) * kMillisecond,
                      [&w, ref = chain.front().ref] { w.cancel(ref); });
             chain.erase(chain.begin());
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -45,7 +45,9 @@
 )";
 
 std::string write(const std::string& name, const std::string& text) {
-    const std::string path = testing::TempDir() + name;
+    // Tests run side by side.
+    const std::string path =
+        testing::TempDir() + testing::UnitTest::GetInstance()->current_test_info()->name() + "-" + name;
     std::ofstream(path) << text;
     return path;
 }
@@ -93,6 +95,28 @@
     EXPECT_NE(error_of("node_name = "), "");
 }
 
+TEST(SettingsFile, TheSmallerOfTheLimitsNowAndNextIsKept) {
+    auto next = [](const std::string& text) {
+        return with("txn_ops = 8", "txn_ops = 8\n[deployment.state.next]\n" + text);
+    };
+    Settings s =
+        load_settings(write("platform.toml", next("write_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4")), "");
+    EXPECT_EQ(s.value_bytes, 2048u);
+    EXPECT_EQ(s.value_bytes_now, 4096u);
+    EXPECT_EQ(s.txn_ops, 4u);
+    EXPECT_EQ(s.next_write_rps, 18);
+    EXPECT_EQ(s.state_write_rps, 25);
+    s = load_settings(write("platform.toml", next("value_kb = 8.0\nof_next_year = 1")), "");
+    EXPECT_EQ(s.value_bytes, 4096u);
+    EXPECT_EQ(s.txn_ops, 8u);
+    EXPECT_EQ(s.next_write_rps, 25);
+    EXPECT_EQ(error_of(next("value_kb = \"two\"")), "deployment.state.next.value_kb: a number is needed");
+    EXPECT_NE(error_of(next("txn_ops = 0")).find("deployment.state.next.txn_ops: must lie between"),
+              std::string::npos);
+    EXPECT_EQ(error_of(with("txn_ops = 8", "txn_ops = 8\nnext = 7")),
+              "deployment.state.next: must be a table");
+}
+
 TEST(SettingsFile, OperatorsKeysAreChecked) {
     EXPECT_EQ(error_of(kGood, "[placement]\ncores_weight = 10\n"), "");
     EXPECT_EQ(error_of(kGood, "[placement]\ncore_weight = 10\n"), "placement.core_weight: unknown key");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -35,6 +35,22 @@
     EXPECT_TRUE(wire::parse_job(v).spec);
 }
 
+TEST(Wire, ReadsWhatAJobNeeds) {
+    Value v = good_job();
+    for (const Value& none : {Value(nullptr), Value::array()}) {
+        v["warp"] = none;
+        EXPECT_TRUE(wire::parse_job(v).spec->needs.empty());
+    }
+    v["warp"] = {"req-000398", "req-000405", "req-000398"};
+    EXPECT_EQ(wire::parse_job(v).spec->needs, (std::vector<std::string>{"req-000398", "req-000405"}));
+    EXPECT_EQ(wire::parse_job(wire::job_value(*wire::parse_job(v).spec)).spec->needs.size(), 2u);
+    for (const Value& broken : {Value("req-000398"), Value({"job-1"}), Value({1}), Value({{"a", 1}}),
+                                Value(7), Value(std::vector<std::string>(1001, "req-000398"))}) {
+        v["warp"] = broken;
+        EXPECT_EQ(wire::parse_job(v).error, "warp") << broken.dump().substr(0, 40);
+    }
+}
+
 TEST(Wire, RefusesEveryBrokenField) {
     const double inf = std::numeric_limits<double>::infinity(),
                  nan = std::numeric_limits<double>::quiet_NaN();
--- a/tools/cottonway.cpp
+++ b/tools/cottonway.cpp
@@ -16,6 +16,7 @@
     CLI::App app{"cottonway: a cluster scheduler"};
     app.set_version_flag("--version", std::string("cottonway ") + COTTONWAY_VERSION);
     std::string config, operators, node = "127.0.0.1:8080", ref, file;
+    std::vector<std::string> refs;
     bool check = false;
     app.add_option("--config", config, "the platform's settings file (TOML); runs a controller");
     app.add_option("--operators", operators, "the operators' own settings (TOML)");
@@ -25,10 +26,10 @@
         sub->add_option("--node", node, "address of a controller")->capture_default_str();
         return sub;
     };
-    auto* submit = client("submit", "submit the job in a JSON file");
-    submit->add_option("file", file, "the job as JSON")->required()->check(CLI::ExistingFile);
-    auto* show = client("show", "show a job");
-    show->add_option("ref", ref, "the job's id")->required();
+    auto* submit = client("submit", "submit the job in a JSON file, or a list of them in order");
+    submit->add_option("file", file, "the job or jobs as JSON")->required()->check(CLI::ExistingFile);
+    auto* show = client("show", "show jobs, for example those of a pipeline");
+    show->add_option("ref", refs, "the jobs' ids")->required();
     auto* cancel = client("cancel", "cancel a job");
     cancel->add_option("ref", ref, "the job's id")->required();
     auto* status = client("status", "status and metrics of a controller (its cluster address)");
@@ -38,9 +39,14 @@
     try {
         if (submit->parsed()) {
             std::ifstream in(file);
-            return cli::request(parse_endpoint(node), "POST", "/v1/jobs", Value::parse(in));
+            return cli::submit(parse_endpoint(node), Value::parse(in));
+        }
+        if (show->parsed()) {
+            int code = 0;
+            for (const auto& r : refs)
+                code = std::max(code, cli::request(parse_endpoint(node), "GET", "/v1/jobs/" + r, {}));
+            return code;
         }
-        if (show->parsed()) return cli::request(parse_endpoint(node), "GET", "/v1/jobs/" + ref, {});
         if (cancel->parsed())
             return cli::request(parse_endpoint(node), "POST", "/v1/jobs/" + ref + "/abort", Value::object());
         if (status->parsed()) return cli::request(parse_endpoint(node), "GET", "/status", {});
