--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -14,7 +14,8 @@
 constexpr Micros kLeaseEvery = 300 * kMillisecond;
 constexpr Micros kLeadPause = 800 * kMillisecond;  // gather what is there before the first blocks are leased
 constexpr std::size_t kMachineBytes = 56;          // of a machine in a record, with some room to grow
-constexpr double kOwnZone = 3;                     // times as many machines of the holder's own zone
+constexpr double kMostOfAverage = 1.5;  // of the domains' cores, that waiting tasks may gather at one
+constexpr double kOwnZone = 3;          // times as many machines of the holder's own zone
 // Reports a second, per core that a controller may use, beyond which one controller had better not hold all
 // machines: a report costs a few tenths of a millisecond with all that follows from it, and most of the share
 // must be left for bursts, users and the loss of others.
@@ -356,6 +357,19 @@
         have[{b.domain, {b.type, b.zone, b.spot}}] += b.machines.size();
         cores[{b.domain, b.zone, b.spot}] += size_of(b.type) * static_cast<Milli>(b.machines.size());
     }
+    // Toward owners with waiting tasks, as long as that does not gather everything at one: machines that go
+    // elsewhere first are moved one by one later, at two changes and more each.
+    std::map<std::string, Milli> waiting;
+    std::map<std::string, Milli> capacity;
+    Milli average = 0;
+    for (const auto& domain : targets) {
+        capacity[domain] = capacity_of(domain);
+        average += capacity[domain] / static_cast<Milli>(targets.size());
+        if (const Owner* o = owner(domain); o && o->active())
+            waiting[domain] = o->load().waiting;
+        else if (const auto* told = load_of(domain))
+            waiting[domain] = told->waiting;
+    }
     const std::size_t most = block_size();
     for (const auto& [shape, names] : fresh) {
         // Evenly over the domains; of spot machines more to those whose holder is in their zone: where zones
@@ -364,7 +378,9 @@
         auto load = [&, s = shape](const std::string& domain) {
             const bool own = s.spot && zone_of(domains_.at(domain).holder) == s.zone;
             const double part = own ? kOwnZone : 1.0;
-            return std::tuple(static_cast<double>(cores[{domain, s.zone, s.spot}]) / part,
+            const bool wanted = waiting[domain] > 0 && static_cast<double>(capacity[domain]) <
+                                                           static_cast<double>(average) * kMostOfAverage;
+            return std::tuple(!wanted, static_cast<double>(cores[{domain, s.zone, s.spot}]) / part,
                               static_cast<double>(have[{domain, s}]) / part, domain);
         };
         std::map<std::string, std::vector<std::string>> shares;
@@ -373,6 +389,8 @@
                 *std::min_element(targets.begin(), targets.end(),
                                   [&](const auto& a, const auto& b) { return load(a) < load(b); });
             ++have[{to, shape}];
+            waiting[to] -= size_of(shape.type);
+            capacity[to] += size_of(shape.type);
             cores[{to, shape.zone, shape.spot}] += size_of(shape.type);
             shares[to].push_back(name);
         }
