--- a/tests/traces_test.cpp
+++ b/tests/traces_test.cpp
@@ -190,7 +190,7 @@
         const std::string near = in_zone("a"), far = in_zone("b");
         for (int i = 1; i <= 3; ++i) {
             JobSpec job = w->job(i, JobKind::Array, 1, 8);
-            if (i < 3) job.zone = i == 1 ? "a" : "b";
+            if (i < 3) job.zone = w->settings.zones.at(i == 1 ? 0 : 1);
             w->submit(job, i < 3 ? 6 * kSecond : 30 * kSecond, 0);
             w->run(300 * kMillisecond);
         }
