--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -16,7 +16,6 @@
 constexpr Micros kGather = 3 * kMillisecond;
 // Share of a second's changes that must be left over for changes of each priority.
 constexpr std::array<double, kPriorities> kReserve{0.0, 0.15, 0.5};
-constexpr double kFairReserve = 0.3;
 // A record that is put together must not stand in a queue meanwhile.
 constexpr std::size_t kRoomQueue = 4;
 }  // namespace
@@ -88,20 +87,14 @@
     for (std::size_t p = 0; p <= static_cast<std::size_t>(priority); ++p)
         ahead += write_queue_.pending[p].size();
     if (ahead >= kRoomQueue || now < write_queue_.pause_until) return false;
-    if (priority != Priority::Deferrable && fair_.left(now) >= 1 + fair_reserve(priority)) return true;
+    if (priority != Priority::Deferrable && fair_.left(now) >= 1) return true;
     return writes_.level(now) > kReserve[static_cast<std::size_t>(priority)];
 }
 
-/// Of our part as well something is left over for what is urgent.
-double Store::fair_reserve(Priority priority) const {
-    const double part = write_rps_ * 0.9 / static_cast<double>(settings_.peers.size() + 1);
-    return priority == Priority::Urgent ? 0 : kFairReserve * part;
-}
-
 bool Store::take_writes(Micros now, std::size_t changes, Priority priority) {
     const auto amount = static_cast<double>(changes);
     const double reserve = kReserve[static_cast<std::size_t>(priority)] * write_rps_ * 0.9;
-    if (priority != Priority::Deferrable && fair_.take(now, amount, fair_reserve(priority)) == 0) {
+    if (priority != Priority::Deferrable && fair_.take(now, amount) == 0) {
         writes_.drain(now, amount);
         return true;
     }
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -147,7 +147,6 @@
     void commit_in_pieces(Change change, std::function<void(const CommitResult&)> done);
     void read_pieces(ReadResult head, std::vector<std::string> texts, std::function<void(ReadResult)> done);
     void slow_down(Micros now);
-    double fair_reserve(Priority priority) const;
     bool take_writes(Micros now, std::size_t changes, Priority priority);
     void pump(Queue& queue, bool writes);
     void later(Queue& queue, bool writes, Micros delay);
