--- a/src/core/blocks.cpp
+++ b/src/core/blocks.cpp
@@ -24,7 +24,6 @@
 constexpr Micros kForgetPatience = 500 * kMillisecond;    // what was on them is in doubt until then
 constexpr Micros kReturnLatest = 20 * kSecond;
 constexpr Micros kRetry = 300 * kMillisecond;
-constexpr Micros kRefused = 5 * kSecond;  // what the service does not take is not sent again and again
 
 /// What of a limit is stored in shares; what has no limit needs none.
 Milli to_share(Milli limit) {
@@ -66,6 +65,14 @@
     return cores;
 }
 
+/// No block lists it any more.
+void Controller::machine_left(const std::string& name) {
+    block_of_.erase(name);
+    visits_.erase(name);
+    for (auto& [domain, owner] : owners_)
+        if (owner) owner->on_machine_gone(name, "it is deleted, or given away empty");
+}
+
 void Controller::apply_block(const std::string& id, const Value* value, Revision mark) {
     auto it = blocks_.find(id);
     if (it != blocks_.end() && it->second.mark >= mark) return;
@@ -94,10 +101,7 @@
             at->second = split->second;
             continue;
         }
-        block_of_.erase(at);
-        visits_.erase(name);
-        for (auto& [domain, owner] : owners_)
-            if (owner) owner->on_machine_gone(name, "it is deleted, or given away empty");
+        machine_left(name);
     }
     auto block = blocks_.find(id);
     if (block != blocks_.end()) {
@@ -283,9 +287,7 @@
                 // Not split after all, and somebody else has taken it out of the block.
                 auto at = block_of_.find(m.name);
                 if (at == block_of_.end() || at->second != part.id || blocks_.count(part.id)) continue;
-                block_of_.erase(at);
-                for (auto& [domain, owner] : owners_)
-                    if (owner) owner->on_machine_gone(m.name, "it is deleted, or given away empty");
+                machine_left(m.name);
             }
     });
 }
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -38,6 +38,13 @@
     return v;
 }
 
+JobView JobView::as_cancelled() const {
+    JobView v = *this;
+    v.stage = Stage::Cancelled;
+    v.running = 0;
+    return v;
+}
+
 Controller::Controller(Host& host, Settings settings)
     : host_(host), settings_(std::move(settings)), store_(host, settings_), fleet_(*this) {
     peers_.resize(settings_.peers.size());
@@ -298,7 +305,7 @@
     auto rest = [&](const std::string& prefix) { return key.substr(prefix.size()); };
     if (starts_with(key, keys::piece)) return store_.shelf().take(key, value, host_.now());
     std::optional<Value> whole;
-    if (!value) {
+    if (!value || !pieces::named_by(*value)) {
         store_.shelf().gone(key);
     } else if (whole = store_.shelf().whole(key, *value); whole) {
         value = &*whole;
@@ -359,10 +366,7 @@
             }
         }
         // Cancelled with one before it, whatever its record says: nobody is told anything else any more.
-        if (!view.final() && pipelines_.standing(ref).orphaned) {
-            view.stage = Stage::Cancelled;
-            view.running = 0;
-        }
+        if (!view.final() && pipelines_.standing(ref).orphaned) view = view.as_cancelled();
         guarantees_due_ = true;
         job.record = value;
         job.mark = mark;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -48,6 +48,8 @@
     std::int64_t ended_ms = 0;  // by the time of day, if its record tells
 
     static JobView of(const Value& record, Revision mark);
+    /// What users are told of it once one before it is cancelled, whatever its record says.
+    JobView as_cancelled() const;
     bool final() const { return stage != Stage::Queued; }
 };
 
@@ -193,6 +195,7 @@
     void edit_block(const std::string& id, BlockEdit edit, Micros patience);
     void flush_edits();
     void flush_edits(const std::string& id, BlockEdits& edits);
+    void machine_left(const std::string& name);
     std::size_t block_size() const;
     void split_block(const Block& block, const Owner& o);
     void lease_blocks();
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t kUsualBinding = 22;
 constexpr Micros kOrphanPatience = 5 * kSecond;  // of records of jobs that are cancelled with another
-constexpr Micros kRefused = 5 * kSecond;
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
 constexpr Micros kDefer = 4 * kSecond;
 constexpr Micros kGatherShort = 150 * kMillisecond;
@@ -44,26 +43,16 @@
             spdlog::error("job {}: its record is broken: {}", ref, parsed.error);
             return;
         }
-        auto job = std::make_unique<Job>();
-        job->spec = std::move(*parsed.spec);
-        job->serial = next_serial_++;
-        job->submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
-        job->waiting_since = context_.host().now();
-        job->idle = job->spec.tasks;
-        const auto gate = wire::number(value, "go");
-        job->since_ms = gate ? static_cast<std::int64_t>(*gate) : job->submitted_ms;
-        job->piped = gate || !job->spec.needs.empty();
-        job->rank = job->spec.rank;
-        job->open = job->spec.needs.empty();
-        take_standing(*job, context_.standing(ref));
-        if (job->open) job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
+        auto ms = [&](const char* key) -> std::optional<std::int64_t> {
+            auto v = wire::number(value, key);
+            return v ? std::optional(static_cast<std::int64_t>(*v)) : std::nullopt;
+        };
+        auto job = new_job(std::move(*parsed.spec), ms("at").value_or(0), ms("go"), context_.standing(ref));
         // The previous version's records don't tell and have 64 tasks a part.
-        job->part_tasks = std::max<std::size_t>(wire::count(value, "ps").value_or(64), 1);
-        job->parts.resize((static_cast<std::size_t>(job->spec.tasks) + job->part_tasks - 1) /
-                          job->part_tasks);
+        divide(*job, std::max<std::size_t>(wire::count(value, "ps").value_or(64), 1));
         known = job.get();
         jobs_.emplace(ref, std::move(job));
-        if (context_.standing(ref).orphaned) cancel(*known);
+        if (known->orphaned) cancel(*known);
         known->held = wire::flag(value, "er").value_or(false);
         adopt_part(*known, 0, value, mark);
         plan_due_ = true;
@@ -81,27 +70,37 @@
     context_.wake();
 }
 
-void Owner::admit(JobSpec spec, std::int64_t submitted_ms, const Standing& standing,
-                  std::function<void(const Admission&)> done) {
-    const std::string ref = spec.ref;
-    if (find_job(ref)) return done({CommitStatus::Unknown, 0, {}});
+std::unique_ptr<Job> Owner::new_job(JobSpec spec, std::int64_t submitted_ms,
+                                    std::optional<std::int64_t> gate_ms, const Standing& standing) {
     auto job = std::make_unique<Job>();
     job->spec = std::move(spec);
     job->serial = next_serial_++;
     job->submitted_ms = submitted_ms;
     job->waiting_since = context_.host().now();
     job->idle = job->spec.tasks;
-    job->since_ms = submitted_ms;
-    job->piped = !job->spec.needs.empty();
+    job->since_ms = gate_ms.value_or(submitted_ms);
+    job->piped = gate_ms || !job->spec.needs.empty();
     job->rank = job->spec.rank;
-    job->open = !job->piped;
+    job->open = job->spec.needs.empty();
     take_standing(*job, standing);
     if (job->open) job->slots.resize(static_cast<std::size_t>(job->spec.tasks));
+    return job;
+}
+
+void Owner::divide(Job& job, std::size_t part_tasks) {
+    job.part_tasks = part_tasks;
+    job.parts.resize((static_cast<std::size_t>(job.spec.tasks) + part_tasks - 1) / part_tasks);
+}
+
+void Owner::admit(JobSpec spec, std::int64_t submitted_ms, const Standing& standing,
+                  std::function<void(const Admission&)> done) {
+    const std::string ref = spec.ref;
+    if (find_job(ref)) return done({CommitStatus::Unknown, 0, {}});
+    auto job = new_job(std::move(spec), submitted_ms, std::nullopt, standing);
     auto needs = std::exchange(job->spec.needs, {});  // gone by the time when its parts fill
-    job->part_tasks =
-        part_tasks_for(context_.settings().value_bytes, pieces::stored_size(part_value(*job, 0, false)));
+    divide(*job,
+           part_tasks_for(context_.settings().value_bytes, pieces::stored_size(part_value(*job, 0, false))));
     job->spec.needs = std::move(needs);
-    job->parts.resize((static_cast<std::size_t>(job->spec.tasks) + job->part_tasks - 1) / job->part_tasks);
     job->admitting = std::move(done);
     touch(*job, 0);
     jobs_.emplace(ref, std::move(job));
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -325,6 +325,10 @@
     bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const;
 
     void bind(Job& job, int task, Machine& m, std::int64_t attempt);
+    /// A job as it begins here; `gate_ms`: when its gate opened, if its record tells.
+    std::unique_ptr<Job> new_job(JobSpec spec, std::int64_t submitted_ms, std::optional<std::int64_t> gate_ms,
+                                 const Standing& standing);
+    static void divide(Job& job, std::size_t part_tasks);
     void take_standing(Job& job, const Standing& standing);
     void open_gate(Job& job);
     void set_rank(Job& job, Rank rank);
--- a/src/core/pipelines.cpp
+++ b/src/core/pipelines.cpp
@@ -46,9 +46,12 @@
             node.since_ms = std::max(node.since_ms, known.ended_ms);
             continue;
         }
-        if (known.fate == Fate::Cancelled) cancelled = need;
-        if (known.fate == Fate::Unknown) unknown_.insert(need);
         node.waits.insert(need);
+        if (known.fate == Fate::Cancelled) {
+            cancelled = need;  // over: nothing more will be heard of it
+            continue;
+        }
+        if (known.fate == Fate::Unknown) unknown_.insert(need);
         nodes_[need].dependents.insert(ref);
     }
     if (!cancelled.empty()) orphan(ref, cancelled);
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -43,14 +43,6 @@
 
 }  // namespace
 
-namespace {
-JobView cancelled_view(JobView view) {
-    view.stage = Stage::Cancelled;
-    view.running = 0;
-    return view;
-}
-}  // namespace
-
 ApiResponse Controller::unavailable(int retry_after) {
     return {503, Value::object(), retry_after};
 }
@@ -187,7 +179,7 @@
             if (s.orphaned && !job.cancelled) {
                 job.cancelled = true;
                 spdlog::info("job {}: cancelled with {}", ref, pipelines_.cancelled_with(ref));
-                if (const JobView* view = known(ref)) remember(ref, cancelled_view(*view));
+                if (const JobView* view = known(ref)) remember(ref, view->as_cancelled());
             }
             if (s.open && !std::exchange(job.open, true)) {
                 if (s.since_ms > 0) job.since_ms = std::max(job.since_ms, s.since_ms);
@@ -390,7 +382,7 @@
                 apply(keys::job + ref, &r.value, r.mark);
             else
                 remember(ref, view);
-            if (pipelines_.standing(ref).orphaned) return done(true, cancelled_view(view));
+            if (pipelines_.standing(ref).orphaned) return done(true, view.as_cancelled());
             return check(ref, std::move(done));
         }
         const JobView* old = known(ref);
--- a/src/state/pieces.cpp
+++ b/src/state/pieces.cpp
@@ -97,7 +97,7 @@
 std::optional<Value> Shelf::whole(const std::string& key, const Value& stored) {
     const auto named = named_by(stored);
     if (!named) {
-        heads_.erase(key);
+        gone(key);
         return stored;
     }
     heads_[key] = named->first;
--- a/src/state/pieces.hpp
+++ b/src/state/pieces.hpp
@@ -36,6 +36,7 @@
     void take(const std::string& key, const Value* value, Micros now);
     /// The value that a key stands for; nothing while pieces of it are missing.
     std::optional<Value> whole(const std::string& key, const Value& stored);
+    /// The key stands for nothing, or for a value that is not in pieces.
     void gone(const std::string& key) { heads_.erase(key); }
     /// Keys of pieces that no head has named for long.
     std::vector<std::string> left_over(Micros now) const;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -16,6 +16,12 @@
 constexpr Micros kGather = 3 * kMillisecond;
 // Share of a second's changes that must be left over for changes of each priority.
 constexpr std::array<double, kPriorities> kReserve{0.0, 0.15, 0.5};
+// Of the announced rate of changes: what is used, a burst of all controllers, and one of ours.
+constexpr double kUsed = 0.95;
+constexpr double kBurst = 0.9;
+double our_part(double write_rps, const Settings& settings) {
+    return write_rps * kBurst / static_cast<double>(settings.peers.size() + 1);
+}
 // A record that is put together must not stand in a queue meanwhile.
 constexpr std::size_t kRoomQueue = 4;
 }  // namespace
@@ -71,10 +77,9 @@
       settings_(settings),
       requests_(settings.state_rps * std::min(0.9, 1.4 / static_cast<double>(settings.peers.size() + 1)),
                 settings.state_rps * 0.3),
-      writes_(settings.state_write_rps * 0.95, settings.state_write_rps * 0.9),
+      writes_(settings.state_write_rps * kUsed, settings.state_write_rps * kBurst),
       write_rps_(settings.state_write_rps),
-      fair_(settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1),
-            settings.state_write_rps * 0.9 / static_cast<double>(settings.peers.size() + 1)) {}
+      fair_(our_part(settings.state_write_rps, settings), our_part(settings.state_write_rps, settings)) {}
 
 void Store::observe(Revision mark) {
     if (own_.count(mark) == 0) writes_.drain(host_.now(), 1);
@@ -93,7 +98,7 @@
 
 bool Store::take_writes(Micros now, std::size_t changes, Priority priority) {
     const auto amount = static_cast<double>(changes);
-    const double reserve = kReserve[static_cast<std::size_t>(priority)] * write_rps_ * 0.9;
+    const double reserve = kReserve[static_cast<std::size_t>(priority)] * write_rps_ * kBurst;
     if (priority != Priority::Deferrable && fair_.take(now, amount) == 0) {
         writes_.drain(now, amount);
         return true;
@@ -289,8 +294,8 @@
     if (!again || write_rps_ <= settings_.next_write_rps) return;
     write_rps_ = settings_.next_write_rps;
     spdlog::info("the state service takes fewer changes: {} a second from now on", write_rps_);
-    writes_.set_rate(write_rps_ * 0.95, write_rps_ * 0.9);
-    const double part = write_rps_ * 0.9 / static_cast<double>(settings_.peers.size() + 1);
+    writes_.set_rate(write_rps_ * kUsed, write_rps_ * kBurst);
+    const double part = our_part(write_rps_, settings_);
     fair_.set_rate(part, part);
 }
 
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -35,6 +35,9 @@
 enum class Priority { Urgent = 0, Normal = 1, Deferrable = 2 };
 constexpr std::size_t kPriorities = 3;
 
+/// What the service does not take (Rejected) is not sent again before that.
+constexpr Micros kRefused = 5 * kSecond;
+
 /// One caller's part of a transaction. Without writes it only compares.
 struct Change {
     std::vector<Condition> when;
