--- /dev/null
+++ b/src/core/api.hpp
@@ -0,0 +1,33 @@
+#pragma once
+// Requests of users, workers and the load balancer, as the core sees them.
+
+#include <functional>
+#include <string>
+
+#include "wire/units.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+struct ApiRequest {
+    std::string method;
+    std::string path;
+    std::string body;
+    bool too_large = false;
+    Micros waited = 0;  // how long it may have waited unread, since the process stood still
+};
+
+struct ApiResponse {
+    int status = 200;
+    Value body;
+    int retry_after = 0;  // seconds
+};
+
+using ApiResponder = std::function<void(ApiResponse)>;
+
+/// What can't be served now, with when to come back, in seconds.
+inline ApiResponse unavailable(int retry_after = 1) {
+    return {503, Value::object(), retry_after};
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/barter.cpp
@@ -0,0 +1,154 @@
+#include "core/barter.hpp"
+
+#include <algorithm>
+
+namespace cottonway {
+
+namespace {
+constexpr Micros kAskEvery = 250 * kMillisecond;
+constexpr Micros kTimeout = 800 * kMillisecond;
+}  // namespace
+
+Barter::Barter(Host& host, const Replica& replica, const Holdings& holdings, Leases& leases, Sharing& sharing,
+               Peers& peers)
+    : host_(host),
+      replica_(replica),
+      holdings_(holdings),
+      leases_(leases),
+      sharing_(sharing),
+      peers_(peers),
+      wanting_(peers.count()),
+      sharing_with_(peers.count()) {}
+
+void Barter::tick() {
+    const Micros now = host_.now();
+    if (now - asked_ < kAskEvery || replica_.members.domains().size() < 2) return;
+    asked_ = now;
+    for (const auto& [name, o] : holdings_.all()) {
+        if (!o || !o->active()) continue;
+        if (o->machines().empty() && !o->jobs().empty()) {
+            pass_jobs_on(*o);
+            continue;
+        }
+        if (auto want = o->want()) ask_for_machines(*o, *want);
+        for (const auto& [team, missing] : o->short_of_share()) ask_for_share(*o, team, missing);
+    }
+}
+
+/// A domain without machines passes its jobs on.
+void Barter::pass_jobs_on(Owner& o) {
+    std::string to;
+    for (const auto& t : leases_.targets())
+        if (t != o.domain() && replica_.capacity_of(t) > 0 &&
+            (to.empty() || replica_.capacity_of(t) > replica_.capacity_of(to)))
+            to = t;
+    if (!to.empty()) o.rehome(to, INT64_MAX / 2, INT64_MAX / 2);
+}
+
+/// Room elsewhere: the job goes there. Otherwise idle machines come here.
+void Barter::ask_for_machines(Owner& o, const peer::Want& want) {
+    const peer::DomainLoad* roomy = nullptr;
+    auto room = [&](const peer::DomainLoad& d) {
+        return d.free_ordinary + (want.spot ? d.free_spot : 0) - d.waiting;
+    };
+    std::optional<std::size_t> best;
+    Milli most = 0;
+    for (std::size_t i = 0; i < peers_.count(); ++i) {
+        const peer::State* state = peers_.fresh(i);
+        if (!state) continue;
+        for (const auto& d : state->domains) {
+            const Held* held = replica_.members.domain(d.domain);
+            if (held && held->mark == d.mark && (!roomy || room(d) > room(*roomy))) roomy = &d;
+            const Milli idle = d.idle_ordinary + (want.spot ? d.idle_spot : 0);
+            if (d.waiting == 0 && idle > most && !wanting_[i]) {
+                most = idle;
+                best = i;
+            }
+        }
+    }
+    // Half of it, since others look at the same.
+    if (roomy && room(*roomy) > 0)
+        o.rehome(roomy->domain, std::max<Milli>(roomy->free_ordinary - roomy->waiting, 0) / 2,
+                 roomy->free_spot / 2);
+    if (best) {
+        wanting_[*best] = true;
+        peers_.call(*best, peer::pack(want), kTimeout,
+                    [this, i = *best](const Reply&) { wanting_[i] = false; });
+        return;
+    }
+    // Another domain that is held here.
+    for (const auto& [other, from] : holdings_.all())
+        if (from && other != o.domain() && from->active() && !from->want())
+            return leases_.give(*from, want, [](const peer::Granted&) {});
+}
+
+void Barter::ask_for_share(const Owner& o, const std::string& team, const Resources& missing) {
+    std::optional<std::size_t> best;
+    Owner* local = nullptr;
+    Milli most = 0;
+    auto spare = [](const peer::TeamLoad& t) {
+        auto left = [](Milli share, Milli used, Milli waiting) {
+            return share == kNoLimit ? 0 : std::max<Milli>(share - used - waiting, 0);
+        };
+        return left(t.share.cores, t.used.cores, t.waiting.cores) +
+               left(t.share.cards, t.used.cards, t.waiting.cards);
+    };
+    for (std::size_t i = 0; i < peers_.count(); ++i) {
+        const peer::State* state = peers_.fresh(i);
+        if (!state || sharing_with_[i]) continue;
+        for (const auto& d : state->domains)
+            for (const auto& t : d.teams)
+                if (t.team == team && spare(t) > most) {
+                    most = spare(t);
+                    best = i;
+                }
+    }
+    for (const auto& [other, from] : holdings_.all())
+        if (from && other != o.domain() && from->active())
+            if (const Resources s = from->spare_share(team); s.cores + s.cards > most) {
+                most = s.cores + s.cards;
+                local = from.get();
+            }
+    const peer::ShareWant want{o.domain(), o.mark(), team, missing};
+    if (local) {
+        sharing_.give(*local, want, [](const peer::Granted&) {});
+    } else if (best) {
+        sharing_with_[*best] = true;
+        peers_.call(*best, peer::pack(want), kTimeout,
+                    [this, i = *best](const Reply&) { sharing_with_[i] = false; });
+    }
+}
+
+/// Of ours, the domain with the most idle machines gives.
+void Barter::give_machines(const peer::Want& want, std::function<void(peer::Granted)> done) {
+    Owner* from = nullptr;
+    Milli most = 0;
+    for (const auto& [name, o] : holdings_.all()) {
+        if (!o || name == want.domain || !o->active()) continue;
+        const auto load = o->load();
+        if (load.waiting > 0) continue;
+        if (const Milli idle = load.idle_ordinary + load.idle_spot; idle > most) {
+            most = idle;
+            from = o.get();
+        }
+    }
+    if (!from) return done({});
+    leases_.give(*from, want, std::move(done));
+}
+
+void Barter::give_share(const peer::ShareWant& want, std::function<void(peer::Granted)> done) {
+    Owner* from = nullptr;
+    Milli most = 0;
+    for (const auto& [name, o] : holdings_.all()) {
+        if (!o || name == want.domain || !o->active()) continue;
+        const Resources spare = o->spare_share(want.team);
+        if (spare.cores + spare.cards > most) {
+            most = spare.cores + spare.cards;
+            from = o.get();
+        }
+    }
+    if (!from) return done({});
+    sharing_.give(*from, want, std::move(done));
+}
+
+}  // namespace cottonway
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/controller.hpp"
+#include "core/holdings.hpp"
+#include "core/leadership.hpp"
+#include "core/leases.hpp"
+#include "core/peers.hpp"
 #include "log/log.hpp"
 
 namespace cottonway {
@@ -24,36 +27,42 @@
 constexpr double kMargin = 1.15;
 }  // namespace
 
-Fleet::Fleet(Controller& controller)
-    : controller_(controller),
-      budget_(controller.settings().cloud_rps * 0.8, std::max(1.0, controller.settings().cloud_rps)) {}
+Fleet::Fleet(Host& host, const Settings& settings, Replica& replica, const Holdings& holdings,
+             const Leadership& leadership, Leases& leases, const Peers& peers)
+    : host_(host),
+      settings_(settings),
+      replica_(replica),
+      holdings_(holdings),
+      leadership_(leadership),
+      leases_(leases),
+      peers_(peers),
+      budget_(settings.cloud_rps * 0.8, std::max(1.0, settings.cloud_rps)) {}
 
 /// `reserve` requests are left over for what is more urgent.
 bool Fleet::call(Call c, double reserve, ReplyHandler done) {
-    Host& host = controller_.host();
-    if (host.now() < pause_until_ || budget_.take(host.now(), 1, reserve) > 0) return false;
+    if (host_.now() < pause_until_ || budget_.take(host_.now(), 1, reserve) > 0) return false;
     c.target = Target::Cloud;
     c.timeout = 4 * kSecond;
-    host.call(std::move(c), [this, done = std::move(done)](const Reply& r) {
+    host_.call(std::move(c), [this, done = std::move(done)](const Reply& r) {
         if (r.status == 429 || (r.status == 503 && wire::text(r.body, "error") != "no capacity"))
-            pause_until_ = controller_.host().now() + kSecond +
-                           static_cast<Micros>(controller_.host().random()() % 1000) * kMillisecond;
+            pause_until_ =
+                host_.now() + kSecond + static_cast<Micros>(host_.random()() % 1000) * kMillisecond;
         done(r);
     });
     return true;
 }
 
 void Fleet::tick() {
-    const Micros now = controller_.host().now();
+    const Micros now = host_.now();
     if (holding_since_ == 0) holding_since_ = now;
     const bool reclaims = now - reclaimed_at_ > kReclaimEvery;
     if (reclaims) reclaimed_at_ = now;
-    for (const auto& [name, owner] : controller_.owners()) {
+    for (const auto& [name, owner] : holdings_.all()) {
         if (!owner || !owner->active()) continue;
         if (reclaims) drain(*owner);
         reclaim(*owner, reclaims);
     }
-    if (!controller_.leading()) {
+    if (!leadership_.leading()) {
         was_leading_ = false;
         return;
     }
@@ -62,7 +71,7 @@
         leading_since_ = now;
         // Rental names hold the mark of the leader's term, which no other term shares, so none is ever used
         // twice.
-        term_ = controller_.term();
+        term_ = leadership_.term();
         rentals_.clear();
         booting_.clear();
         doomed_.clear();
@@ -81,7 +90,7 @@
         c.method = "GET";
         c.path = "/machine_types";
         call(std::move(c), 1, [this](const Reply& r) {
-            if (r.status == 200) controller_.learn(r.body);
+            if (r.status == 200) replica_.learn(r.body);
         });
     }
     for (auto& [name, rental] : rentals_)
@@ -100,28 +109,27 @@
     c.method = "GET";
     c.path = "/machines?" + (since.empty() ? std::string() : "since=" + since + "&") + "page=500";
     // Reading the list must not keep rentals and deletions waiting.
-    const bool sent =
-        call(std::move(c), std::min(1.0, controller_.settings().cloud_rps / 4), [this](const Reply& r) {
-            listing_ = false;
-            auto page = r.status == 200 ? wire::parse_machines(r.body) : std::nullopt;
-            if (!page || !controller_.leading()) return;
-            for (const auto& m : page->machines) on_listed(m);
-            if (page->more && !page->machines.empty()) return list(page->machines.back().name);
-            list_complete();
-        });
+    const bool sent = call(std::move(c), std::min(1.0, settings_.cloud_rps / 4), [this](const Reply& r) {
+        listing_ = false;
+        auto page = r.status == 200 ? wire::parse_machines(r.body) : std::nullopt;
+        if (!page || !leadership_.leading()) return;
+        for (const auto& m : page->machines) on_listed(m);
+        if (page->more && !page->machines.empty()) return list(page->machines.back().name);
+        list_complete();
+    });
     if (!sent)
-        controller_.host().after(200 * kMillisecond, [this, since] {
-            if (!since.empty() && controller_.leading()) return list(since);
+        host_.after(200 * kMillisecond, [this, since] {
+            if (!since.empty() && leadership_.leading()) return list(since);
             listing_ = false;
         });
 }
 
 void Fleet::on_listed(const CloudMachine& m) {
-    const Micros now = controller_.host().now();
+    const Micros now = host_.now();
     listing_now_.insert(m.name);
     if (deleted_.count(m.name)) return;  // the list is late
     first_listed_.try_emplace(m.name, now);
-    const bool leased = controller_.block_of(m.name) != nullptr;
+    const bool leased = replica_.blocks.of(m.name) != nullptr;
     if (m.state == CloudState::Failed) {
         if (leased)
             retire(m.name, "it has failed");
@@ -137,8 +145,8 @@
     }
     // Up and with an address: leased at once, so that its first report finds its holder.
     if (m.state == CloudState::Running && !m.addr.empty() && !doomed_.count(m.name))
-        controller_.lease_machine({m.name, m.addr, 0, false, false}, m.type, m.zone, m.spot, nullptr);
-    const MachineType* type = controller_.machine_type(m.type);
+        leases_.lease({m.name, m.addr, 0, false, false}, m.type, m.zone, m.spot, nullptr);
+    const MachineType* type = replica_.types.find(m.type);
     const Micros boot = type ? type->boot : 60 * kSecond;
     // Far beyond its type's time: it will hardly come up, and it is charged all the while.
     if (m.state == CloudState::Starting && m.age > 3 * boot + 30 * kSecond &&
@@ -152,15 +160,15 @@
 /// was first listed long before that and is missing now is gone: its deletion, which does no harm, proves it,
 /// and ends the doubt about its tasks much sooner than their lease would.
 void Fleet::list_complete() {
-    const Micros now = controller_.host().now();
-    const Micros settled = 3 * controller_.settings().list_lag + 2 * kSecond;
+    const Micros now = host_.now();
+    const Micros settled = 3 * settings_.list_lag + 2 * kSecond;
     for (auto it = first_listed_.begin(); it != first_listed_.end();) {
         const std::string& name = it->first;
         if (listing_now_.count(name) || now - it->second < settled) {
             ++it;
             continue;
         }
-        if (controller_.block_of(name))
+        if (replica_.blocks.of(name))
             retire(name, "it is no longer listed");
         else if (booting_.erase(name) > 0)
             doomed_.emplace(name, now);
@@ -170,31 +178,31 @@
 
 /// By the leader, whoever holds the machine.
 void Fleet::retire(const std::string& machine, const char* why) {
-    const Block* block = controller_.block_of(machine);
+    const Block* block = replica_.blocks.of(machine);
     if (!block) return;
     for (const auto& m : block->machines)
         if (m.name == machine && m.retired) return;
-    if (Owner* owner = controller_.owner(block->domain)) return owner->retire(machine, why);
+    if (Owner* owner = holdings_.find(block->domain)) return owner->retire(machine, why);
     spdlog::info("machine {}: to be returned: {}", machine, why);
-    controller_.retire_machine(machine);
+    leases_.retire(machine);
 }
 
 void Fleet::weigh() {
-    const Micros now = controller_.host().now();
-    const Settings& s = controller_.settings();
-    std::erase_if(booting_, [&](const auto& b) { return controller_.block_of(b.first) != nullptr; });
+    const Micros now = host_.now();
+    const Settings& s = settings_;
+    std::erase_if(booting_, [&](const auto& b) { return replica_.blocks.of(b.first) != nullptr; });
     balance_ = peer::FleetBalance{};
-    balance_.term = controller_.term();
+    balance_.term = leadership_.term();
     auto add = [&](Milli cores, bool spot) {
         balance_.total += cores;
         if (!spot) balance_.ordinary += cores;
     };
-    for (const auto& [id, block] : controller_.blocks())
-        if (const auto* type = controller_.machine_type(block.type))
+    for (const auto& [id, block] : replica_.blocks.all())
+        if (const auto* type = replica_.types.find(block.type))
             for (const auto& m : block.machines)
                 if (!m.retired) add(type->size.cores, block.spot);
     for (const auto& [name, b] : booting_)
-        if (const auto* type = controller_.machine_type(b.type)) add(type->size.cores, b.spot);
+        if (const auto* type = replica_.types.find(b.type)) add(type->size.cores, b.spot);
     // Teams without a guarantee take what is left over: nothing is rented for them.
     Milli limit = 0;
     std::set<std::string> guests;
@@ -203,7 +211,7 @@
         limit += t.limit.cores < kNoLimit ? t.limit.cores : t.guarantee.cores;
     }
     Milli ordinary = 0, flexible = 0;
-    for (const auto& [ref, job] : controller_.live_jobs()) {
+    for (const auto& [ref, job] : replica_.jobs.live()) {
         if (job.cancelled || !job.open || guests.count(job.team)) continue;
         // One that is taken to be broken is tried with one task at a time.
         const int tasks = job.held ? 1 : std::max(job.tasks - job.done, 0);
@@ -235,7 +243,7 @@
 
 /// At most every ten seconds, so that the log shows why machines come and go.
 void Fleet::log_balance() {
-    const Micros now = controller_.host().now();
+    const Micros now = host_.now();
     if (now - logged_at_ < 10 * kSecond) return;
     logged_at_ = now;
     spdlog::info(
@@ -248,10 +256,10 @@
 
 /// What is too much in all, by the domain's part of the machines.
 Fleet::Surplus Fleet::surplus_of(const Owner& owner) const {
-    const auto balance = controller_.balance();
+    const auto balance = peers_.balance();
     if (balance.term == 0 || balance.total <= 0) return {};
     const double part =
-        static_cast<double>(controller_.capacity_of(owner.domain())) / static_cast<double>(balance.total);
+        static_cast<double>(replica_.capacity_of(owner.domain())) / static_cast<double>(balance.total);
     auto ours = [part](Milli surplus) {
         return static_cast<Milli>(static_cast<double>(std::max<Milli>(surplus, 0)) * std::min(part, 1.0));
     };
@@ -267,7 +275,7 @@
     std::stable_sort(busy.begin(), busy.end(), [](const Machine* a, const Machine* b) {
         return std::tuple(!a->draining, a->booked.cores) < std::tuple(!b->draining, b->booked.cores);
     });
-    const bool settled = controller_.host().now() - holding_since_ > controller_.settings().ops.idle_return;
+    const bool settled = host_.now() - holding_since_ > settings_.ops.idle_return;
     for (const Machine* m : busy) {
         const bool on = settled && surplus >= m->type->size.cores;
         if (on) surplus -= m->type->size.cores;
@@ -276,8 +284,8 @@
 }
 
 void Fleet::reclaim(Owner& owner, bool idle_too) {
-    const Micros now = controller_.host().now();
-    const Settings& s = controller_.settings();
+    const Micros now = host_.now();
+    const Settings& s = settings_;
     Surplus surplus = idle_too ? surplus_of(owner) : Surplus{};
     for (const auto& [name, m] : owner.machines()) {
         if (m->retired || m->retiring || m->leaving) continue;
@@ -290,7 +298,7 @@
         } else if (m->error_jobs.size() >= 3 && m->tasks.empty()) {
             owner.retire(name, "tasks of several jobs fail on it");
         } else if (idle_too && m->tasks.empty() && m->type && now - holding_since_ > s.ops.idle_return &&
-                   controller_.host().listened() - m->idle_since > s.ops.idle_return) {
+                   host_.listened() - m->idle_since > s.ops.idle_return) {
             const Milli cores = m->type->size.cores;
             Milli& left = m->spot ? surplus.total : surplus.ordinary;
             if (left < cores) continue;
@@ -303,13 +311,13 @@
 
 void Fleet::remove() {
     if (deleting_) return;
-    const Micros now = controller_.host().now();
+    const Micros now = host_.now();
     std::vector<std::string> names;
-    for (const auto& [id, block] : controller_.blocks())
+    for (const auto& [id, block] : replica_.blocks.all())
         for (const auto& m : block.machines)
             if (m.retired && names.size() < kMaxDelete) names.push_back(m.name);
     for (const auto& [name, since] : doomed_)
-        if (names.size() < kMaxDelete && !controller_.block_of(name)) names.push_back(name);
+        if (names.size() < kMaxDelete && !replica_.blocks.of(name)) names.push_back(name);
     std::erase_if(names, [&](const std::string& n) { return forgetting_.count(n) > 0; });
     if (names.empty() || now < pause_until_) return;
     Call c;
@@ -325,11 +333,11 @@
             doomed_.erase(name);
             booting_.erase(name);
             first_listed_.erase(name);
-            if (controller_.block_of(name)) forgetting_.insert(name);
+            if (replica_.blocks.of(name)) forgetting_.insert(name);
         }
-        std::erase_if(forgetting_, [&](const std::string& n) { return !controller_.block_of(n); });
+        std::erase_if(forgetting_, [&](const std::string& n) { return !replica_.blocks.of(n); });
         // Gone with everything on them, so the records that kept their tasks in doubt may forget them.
-        controller_.forget_machines(names);
+        leases_.forget(names);
         spdlog::info("returned {} machines, {} first", names.size(), names.front());
     });
 }
@@ -337,19 +345,19 @@
 // ---------------------------------------------------------------- renting
 
 void Fleet::rent() {
-    const Micros now = controller_.host().now();
+    const Micros now = host_.now();
     if (now - leading_since_ < 3 * kSecond || now < pause_until_ || rentals_.size() >= kMaxRentals) return;
     // Spot machines are tried first; what they can't cover is what ordinary ones are wanted for.
     const bool need_ordinary =
         balance_.ordinary < balance_.wanted_ordinary && now - leading_since_ > 6 * kSecond;
     if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
     std::map<std::string, int> per_zone;
-    for (const auto& [id, block] : controller_.blocks())
+    for (const auto& [id, block] : replica_.blocks.all())
         per_zone[block.zone] += static_cast<int>(block.machines.size());
     for (const auto& [name, b] : booting_) ++per_zone[b.zone];
     Milli coming = 0;
     for (const auto& [name, r] : rentals_)
-        if (const auto* t = controller_.machine_type(r.type); t && r.spot != need_ordinary)
+        if (const auto* t = replica_.types.find(r.type); t && r.spot != need_ordinary)
             coming += t->size.cores * r.count;
 
     // The cheapest core first; among equals the zone with the fewest machines.
@@ -363,7 +371,7 @@
         }
     };
     std::vector<Offer> offers;
-    for (const auto& t : controller_.types())
+    for (const auto& t : replica_.types.types())
         for (const auto& zone : t.zones)
             for (const bool spot : {false, true}) {
                 if (spot == need_ordinary) continue;
@@ -415,7 +423,7 @@
         auto it = rentals_.find(name);
         if (it == rentals_.end()) return;
         Rental& x = it->second;
-        const Micros now = controller_.host().now();
+        const Micros now = host_.now();
         const Shape shape{x.type, x.zone, x.spot};
         x.in_flight = false;
         auto names = r.status == 200 ? wire::parse_rented(r.body) : std::nullopt;
@@ -423,7 +431,7 @@
             spdlog::info("rented {} of {} {} in {}{}", names->size(), x.count, x.type, x.zone,
                          x.spot ? ", spot" : "");
             for (const auto& n : *names)
-                if (!controller_.block_of(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
+                if (!replica_.blocks.of(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
             if (static_cast<int>(names->size()) < x.count)
                 refused_until_[shape] = now + 15 * kSecond;
             else
@@ -443,7 +451,7 @@
     });
     if (!sent) {
         rental.in_flight = false;
-        rental.not_before = controller_.host().now() + 500 * kMillisecond;
+        rental.not_before = host_.now() + 500 * kMillisecond;
     }
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -11,11 +11,16 @@
 
 namespace cottonway {
 
-class Controller;
+class Holdings;
+class Leadership;
+class Leases;
+class Peers;
+class Replica;
 
 class Fleet {
   public:
-    explicit Fleet(Controller& controller);
+    Fleet(Host& host, const Settings& settings, Replica& replica, const Holdings& holdings,
+          const Leadership& leadership, Leases& leases, const Peers& peers);
     /// Called ten times a second by every controller. The leader deals with the cloud; every holder returns
     /// its part of what is too much.
     void tick();
@@ -68,7 +73,13 @@
     void remove();
     bool call(Call call, double reserve, ReplyHandler done);
 
-    Controller& controller_;
+    Host& host_;
+    const Settings& settings_;
+    Replica& replica_;
+    const Holdings& holdings_;
+    const Leadership& leadership_;
+    Leases& leases_;
+    const Peers& peers_;
     RateBudget budget_;
     Micros pause_until_ = 0;
     Micros listed_at_ = 0;
--- /dev/null
+++ b/src/core/leadership.cpp
@@ -0,0 +1,71 @@
+#include "core/leadership.hpp"
+
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr Micros kLeadStep = 300 * kMillisecond;  // between the turns of those who could lead
+constexpr Micros kStoreTypesEvery = 30 * kSecond;
+}  // namespace
+
+void Leadership::consider() {
+    const Micros now = host_.now();
+    if (!feed_.loaded() || !presence_.announced() || replica_.types.empty() || taking_) return;
+    if (feed_.confirmed_ago() > 2 * kSecond) return;
+    const Held& leader = replica_.members.leader();
+    if (leader.mark != 0 && leader.holder == settings_.node) {
+        if (led_mark_ != leader.mark) lead();
+        return;
+    }
+    if (leader.mark != 0 && replica_.members.alive(leader.holder)) {
+        leaderless_since_ = 0;
+        return;
+    }
+    if (leaderless_since_ == 0) leaderless_since_ = now;
+    const auto turn = static_cast<Micros>(replica_.rank_among_alive("leader"));
+    if (now - leaderless_since_ >= turn * kLeadStep) lead();
+}
+
+void Leadership::lead() {
+    taking_ = true;
+    ready_ = false;
+    Change change;
+    change.priority = Priority::Urgent;
+    change.when.push_back({keys::leader, term()});
+    change.then.push_back({keys::leader, Value{{"node", settings_.node}}});
+    store_.commit(std::move(change), [this](const CommitResult& r) {
+        const bool ok = r.status == CommitStatus::Ok;
+        if (ok && r.revision > term()) replica_.members.set_leader({settings_.node, r.revision});
+        if (ok) led_mark_ = r.revision;
+        // Only what a look begun by now tells includes all that the former leader has done.
+        feed_.after_look([this, ok, mark = r.revision](bool looked) {
+            taking_ = false;
+            leaderless_since_ = 0;
+            if (!ok) return;
+            if (!looked) led_mark_ = 0;  // taken once more
+            if (!looked || term() != mark) return;
+            ready_ = true;
+            spdlog::info("node {} leads, term {}", settings_.node, mark);
+        });
+    });
+}
+
+void Leadership::store_types() {
+    const Catalog& types = replica_.types;
+    if (!leading() || storing_types_ || types.answer().is_null() ||
+        host_.now() - types_stored_at_ < kStoreTypesEvery)
+        return;
+    types_stored_at_ = host_.now();
+    if (!types.outdated()) return;
+    storing_types_ = true;
+    Change change;
+    change.when = {{keys::leader, term()}, {keys::types, types.stored_mark()}};
+    change.then.push_back({keys::types, types.answer()});
+    store_.commit(std::move(change), [this](const CommitResult& r) {
+        // One that the store does not take is not tried again.
+        if (r.status != CommitStatus::Rejected) feed_.after_look([this](bool) { storing_types_ = false; });
+    });
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/leases.hpp
@@ -0,0 +1,107 @@
+#pragma once
+// The records of blocks: leasing machines to domains, rewriting and splitting blocks, and moving idle
+// machines to where they are waited for.
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/holdings.hpp"
+#include "core/leadership.hpp"
+
+namespace cottonway {
+
+class Fleet;
+class Peers;
+
+class Leases {
+  public:
+    Leases(Host& host, Store& store, const Settings& settings, Feed& feed, Replica& replica,
+           const Holdings& holdings, const Leadership& leadership, const Fleet& fleet, const Peers& peers)
+        : host_(host),
+          store_(store),
+          settings_(settings),
+          feed_(feed),
+          replica_(replica),
+          holdings_(holdings),
+          leadership_(leadership),
+          fleet_(fleet),
+          peers_(peers) {}
+
+    /// Machines that are in no block yet, to be leased soon.
+    void lease(const Block::Machine& machine, const std::string& type, const std::string& zone, bool spot,
+               std::function<void()> done);
+    bool leasing(const std::string& machine) const { return unleased_.count(machine) > 0; }
+    /// A block lists it.
+    void leased(const std::string& machine) { unleased_.erase(machine); }
+    /// Whether the machines are to be spread over the domains of all controllers. One owner of everything
+    /// places best, as long as it can keep up with the workers' reports.
+    bool spread_out() const;
+    std::vector<std::string> targets() const;
+
+    /// Rewrites the block record that lists the machine; the outcome arrives as news of the record.
+    void edit(const std::string& domain, const std::string& machine, OwnerContext::MachineEdit edit,
+              std::function<void(bool)> done);
+    /// Marks a machine as to be returned, whoever holds it.
+    void retire(const std::string& machine);
+    /// Takes deleted machines out of their records.
+    void forget(const std::vector<std::string>& machines);
+    /// Gives idle machines to a domain with waiting tasks.
+    void give(Owner& from, const peer::Want& want, std::function<void(peer::Granted)> done);
+
+    // Called ten times a second.
+    void lease_blocks();
+    /// Blocks of the time when values could be larger are split, in quiet moments: rewritten in pieces they
+    /// would cost several changes each time.
+    void split_blocks();
+    void flush_edits();
+
+  private:
+    struct Edit {
+        std::function<bool(Block&)> change;  // false: nothing to change (any more)
+        std::function<void(bool)> done;
+    };
+    struct Edits {
+        std::vector<Edit> waiting;
+        bool in_flight = false;
+        Micros not_before = 0;
+        Micros due = 0;
+        Micros since = 0;
+        bool urgent = false;
+    };
+    struct Unleased {
+        Block::Machine machine;
+        std::string type;
+        std::string zone;
+        bool spot = false;
+        bool in_flight = false;
+        std::vector<std::function<void()>> done;
+    };
+    /// `patience`: how long the change may wait for others to the same record.
+    void edit_block(const std::string& id, Edit edit, Micros patience);
+    void flush(const std::string& id, Edits& edits);
+    std::size_t block_size() const;
+    void split(const Block& block, const Owner& o);
+    void lease_block(Block block, std::vector<std::string> machines);
+    std::string next_id(Revision mark) {
+        return std::to_string(mark) + "-" + std::to_string(++block_counter_);
+    }
+
+    Host& host_;
+    Store& store_;
+    const Settings& settings_;
+    Feed& feed_;
+    Replica& replica_;
+    const Holdings& holdings_;
+    const Leadership& leadership_;
+    const Fleet& fleet_;
+    const Peers& peers_;
+    std::map<std::string, Edits> edits_;
+    std::map<std::string, Unleased> unleased_;
+    Micros leased_at_ = 0;
+    Micros split_at_ = 0;
+    std::uint64_t block_counter_ = 0;
+};
+
+}  // namespace cottonway
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/authority.hpp"
 #include "log/log.hpp"
 
 namespace cottonway {
@@ -14,11 +15,6 @@
 // launch, reports, a result) that is a fifth of its time.
 constexpr double kIdleStarts = 600;
 
-/// A lease measured by another clock may run this much longer by ours.
-Micros with_drift(Micros t) {
-    return t + t / 1000 + kSecond;
-}
-
 }  // namespace
 
 Owner::Owner(OwnerContext& context, std::string domain, Revision mark, Micros former_authority_end)
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "core/host.hpp"
-#include "core/pipelines.hpp"
 #include "core/placement.hpp"
-#include "core/records.hpp"
 #include "peer/messages.hpp"
+#include "replica/pipelines.hpp"
 #include "settings/settings.hpp"
+#include "state/records.hpp"
 #include "state/store.hpp"
 #include "wire/wire.hpp"
 
@@ -134,8 +134,6 @@
     int errors = 0;
 };
 
-enum class Stage : std::uint8_t { Queued, Done, Cancelled };
-
 /// How the admission of a job went: with the record if it is durable now.
 struct Admission {
     CommitStatus status = CommitStatus::Unavailable;
--- /dev/null
+++ b/src/core/relays.cpp
@@ -0,0 +1,203 @@
+#include "core/relays.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/authority.hpp"
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr Micros kBack = 12 * kSecond;  // a worker that is back this soon could not reach its holder
+// What a try at a node that can't be reached costs a worker: no response for 4 s, and another second.
+constexpr Micros kWorkerTry = 5 * kSecond;
+constexpr Micros kRenounceEvery = 500 * kMillisecond;
+constexpr Micros kPeerTimeout = 800 * kMillisecond;
+constexpr Micros kRelayTimeout = 2 * kSecond;
+}  // namespace
+
+Relays::Relays(Host& host, const Settings& settings, const Feed& feed, const Replica& replica,
+               const Presence& presence, const Holdings& holdings, const Leadership& leadership,
+               Leases& leases, Peers& peers)
+    : host_(host),
+      settings_(settings),
+      feed_(feed),
+      replica_(replica),
+      presence_(presence),
+      holdings_(holdings),
+      leadership_(leadership),
+      leases_(leases),
+      peers_(peers),
+      asked_(settings.peers.size()),
+      started_(host.now()) {}
+
+bool Relays::authorised() const {
+    return feed_.confirmed_ago() < authority(settings_);
+}
+
+std::optional<ApiResponse> Relays::answer(Owner& owner, const Report& r) const {
+    auto answer = owner.on_report(r, authorised());
+    if (!answer) return std::nullopt;
+    return ApiResponse{200, wire::report_answer(answer->token, answer->orders)};
+}
+
+void Relays::report(const std::string& bytes, ApiResponder respond) {
+    auto body = wire::decode(bytes);
+    auto parsed = body ? wire::parse_report(*body) : std::nullopt;
+    if (!parsed) return respond({400, Value::object()});
+    const Report& r = *parsed;
+    const Block* block = replica_.blocks.of(r.machine);
+    if (!block) return unknown_machine(r, std::move(respond));
+    if (Owner* o = holdings_.find(block->domain)) return respond(answer(*o, r).value_or(unavailable()));
+    help(r, *block, bytes, std::move(respond));
+}
+
+/// A machine in no block: the leader leases it, and sends it to the holder of its new block.
+void Relays::unknown_machine(const Report& r, ApiResponder respond) {
+    if (!leadership_.leading()) {
+        const std::string& leader = leadership_.leader();
+        if (leader != settings_.node && replica_.members.alive(leader))
+            return respond({421, wire::redirect(leader)});
+        return respond(unavailable());
+    }
+    if (!authorised()) return respond(unavailable());
+    const bool asked = leases_.leasing(r.machine);
+    leases_.lease(
+        {r.machine, r.addr, 0, false, false}, r.type, r.zone, r.spot,
+        asked ? std::function<void()>() : [this, r, respond] {
+            const Block* block = replica_.blocks.of(r.machine);
+            if (!block) return respond(unavailable());
+            Owner* o = holdings_.find(block->domain);
+            if (auto a = o ? answer(*o, r) : std::nullopt) return respond(std::move(*a));
+            const Held* d = replica_.members.domain(block->domain);
+            if (o || !d) return respond(unavailable());
+            respond({421, wire::redirect(d->holder)});
+        });
+    if (asked) respond(unavailable());
+}
+
+/// A worker whose holder is another node. It is sent there; if it comes back, it can't reach it: then its
+/// report is passed on, and where that fails as well its lease is renewed on the holder's behalf.
+void Relays::help(const Report& r, const Block& block, const std::string& bytes, ApiResponder respond) {
+    const Micros now = host_.now();
+    const Held* d = replica_.members.domain(block.domain);
+    if (!d || d->holder == settings_.node) return respond(unavailable());
+    Visit& visit = visits_[r.machine];
+    const auto peer = peers_.named(d->holder);
+    if (!peer) return respond(unavailable());
+    if (!replica_.members.alive(d->holder)) return stand_in(r, block, respond);
+    // Where we can't reach the holder either, another try would only cost the worker its lease.
+    if (!peers_.reachable(*peer)) return stand_in(r, block, respond);
+    // Where the lease leaves no time to find that out, the report is passed on first; the holder tells
+    // whether it reaches the worker itself.
+    const bool back = visit.sent_on > 0 && now - visit.sent_on < kBack;
+    const bool no_time = settings_.lease < settings_.report_every * 5 / 4 + 2 * kWorkerTry + kSecond;
+    if (!back && (!no_time || std::exchange(visit.direct, false))) {
+        visit.sent_on = now;
+        return respond({421, wire::redirect(d->holder)});
+    }
+    relay(r, *peer, bytes, std::move(respond));
+}
+
+void Relays::relay(const Report& r, std::size_t peer, const std::string& bytes, ApiResponder respond) {
+    peers_.call(peer, peer::pack(peer::Relay{bytes}), kRelayTimeout,
+                [this, r, respond = std::move(respond)](const Reply& reply) {
+                    auto relayed = peer::unpack<peer::Relayed>(reply.bytes);
+                    if (!relayed) {
+                        // The holder may have answered all the same; renewing a lease does no harm then.
+                        const Block* block = replica_.blocks.of(r.machine);
+                        if (!block || holdings_.find(block->domain)) return respond(unavailable());
+                        return stand_in(r, *block, respond);
+                    }
+                    if (relayed->direct) {  // sent there next time
+                        visits_[r.machine].sent_on = 0;
+                        visits_[r.machine].direct = true;
+                    }
+                    auto body = wire::decode(relayed->body);
+                    if (relayed->status != 200 || !body) return respond(unavailable());
+                    respond({200, std::move(*body)});
+                });
+}
+
+std::optional<peer::Relayed> Relays::relayed(const peer::Relay& message) {
+    auto body = wire::decode(message.report);
+    auto r = body ? wire::parse_report(*body) : std::nullopt;
+    if (!r) return std::nullopt;
+    const Block* block = replica_.blocks.of(r->machine);
+    Owner* o = block ? holdings_.find(block->domain) : nullptr;
+    auto answer = o ? o->on_report(*r, authorised(), true) : std::nullopt;
+    if (!answer) return peer::Relayed{503, false, ""};
+    return peer::Relayed{200, answer->direct,
+                         wire::encode(wire::report_answer(answer->token, answer->orders))};
+}
+
+/// Renews a worker's lease on behalf of a holder that neither it nor we can reach, with the holder's own
+/// token and no orders but to stop what is over. Safe as long as the holder does not presume the lease to be
+/// over: for that it needs our promise not to do this (see `promise`), or our end. Limited by our own
+/// authority, so that a cancellation ends every task in time.
+void Relays::stand_in(const Report& r, const Block& block, const ApiResponder& respond) {
+    const Micros now = host_.now();
+    const Held* d = replica_.members.domain(block.domain);
+    Visit& visit = visits_[r.machine];
+    // Promises that a former process of this node made are forgotten, so a new one waits until they are over.
+    const bool may = presence_.announced() && replica_.members.alive(settings_.node) && authorised() && d &&
+                     now - started_ > 2 * with_drift(settings_.lease) && now >= visit.refused_until;
+    const Block::Machine* m = block.find(r.machine);
+    const Revision token = std::max(d ? d->mark : 0, m ? m->token : 0);
+    if (!may || !m || m->retired || r.token > token) return respond(unavailable());
+    std::vector<Order> orders;
+    for (const auto& t : r.tasks) {
+        const JobView* view = replica_.jobs.known(t.job);
+        if (t.phase != Phase::Exited && view && view->final())
+            orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
+    }
+    if (visit.renewed == 0 || now - visit.renewed > 30 * kSecond)
+        spdlog::info("machine {}: kept alive on behalf of {}", r.machine, d->holder);
+    visit.renewed = now;
+    respond({200, wire::report_answer(token, orders)});
+}
+
+peer::Renounced Relays::promise(const peer::Renounce& ask) {
+    const Micros now = host_.now();
+    peer::Renounced answer;
+    for (const auto& name : ask.machines) {
+        Visit& visit = visits_[name];
+        visit.refused_until = now + 3 * with_drift(settings_.lease);
+        answer.ages.push_back(now - std::max(visit.renewed, started_));
+    }
+    return answer;
+}
+
+void Relays::renounce() {
+    const Micros now = host_.now();
+    if (now - renounced_ < kRenounceEvery) return;
+    renounced_ = now;
+    for (const auto& [name, o] : holdings_.all()) {
+        if (!o || !o->active()) continue;
+        for (std::size_t i = 0; i < peers_.count(); ++i) {
+            if (asked_[i] || !replica_.members.alive(settings_.peers[i].name)) continue;
+            auto machines = o->to_renounce(i);
+            if (machines.size() > peer::kMaxMachines) machines.resize(peer::kMaxMachines);
+            if (machines.empty()) continue;
+            asked_[i] = true;
+            const std::string packed = peer::pack(peer::Renounce{settings_.node, name, o->mark(), machines});
+            peers_.call(
+                i, packed, kPeerTimeout,
+                [this, i, name = name, mark = o->mark(), machines, sent = now](const Reply& r) {
+                    asked_[i] = false;
+                    auto answer = peer::unpack<peer::Renounced>(r.bytes);
+                    Owner* o2 = holdings_.find(name);
+                    if (!answer || answer->ages.size() != machines.size() || !o2 || o2->mark() != mark)
+                        return;
+                    const Micros promised = 3 * with_drift(settings_.lease);
+                    for (std::size_t m = 0; m < machines.size(); ++m)
+                        o2->renounced(i, machines[m],
+                                      {sent + promised - promised / 100,
+                                       host_.now() - std::max<Micros>(answer->ages[m], 0)});
+                });
+        }
+    }
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/users.hpp
@@ -0,0 +1,65 @@
+#pragma once
+// What users ask: submissions, polls, cancellations. Answers rest on the store.
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/api.hpp"
+#include "core/holdings.hpp"
+#include "core/peers.hpp"
+
+namespace cottonway {
+
+class Users {
+  public:
+    Users(Host& host, Store& store, const Settings& settings, Feed& feed, Replica& replica,
+          const Holdings& holdings, Peers& peers)
+        : host_(host),
+          store_(store),
+          settings_(settings),
+          feed_(feed),
+          replica_(replica),
+          holdings_(holdings),
+          peers_(peers) {}
+
+    void submit(const Value& body, ApiResponder respond);
+    void poll(const std::string& ref, ApiResponder respond);
+    void abort(const std::string& ref, ApiResponder respond) { abort(ref, 0, std::move(respond)); }
+    /// Whether users had better come here.
+    bool healthy() const;
+    /// `late`: by how much the process is behind its own timer.
+    bool too_busy_for_polls(Micros late);
+    /// Reads jobs that others need and that nothing is known of: they may be long over, and forgotten here.
+    void read_unknown();
+
+  private:
+    enum class Verdict { Fits, Never, NotYet };
+    using Checked = std::function<void(bool ok, std::optional<JobView>)>;
+
+    void resolve(JobSpec spec, ApiResponder respond);
+    void create(JobSpec spec, ApiResponder respond);
+    std::string domain_for(const JobSpec& spec);
+    void abort(const std::string& ref, int tries, ApiResponder respond);
+    void cancel(const std::string& ref, Value record, Revision mark, int tries, ApiResponder respond);
+    /// A job's state as the store has it now; no view: never accepted. `ok` false: nothing is known.
+    void check(const std::string& ref, Checked done);
+    void recheck(const std::string& ref, int tries, Checked done);
+    const JobView* known(const std::string& ref) const { return replica_.jobs.known(ref); }
+    Verdict judge(const JobSpec& spec) const;
+    bool out_of_reach() const;
+
+    Host& host_;
+    Store& store_;
+    const Settings& settings_;
+    Feed& feed_;
+    Replica& replica_;
+    const Holdings& holdings_;
+    Peers& peers_;
+    std::set<std::string> reading_;  // jobs that are needed and that nothing is known of
+    std::uint64_t polls_shed_ = 0;
+    Micros shed_logged_ = 0;
+};
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/catalog.cpp
@@ -0,0 +1,51 @@
+#include "replica/catalog.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace cottonway {
+
+bool Catalog::merge(const Value& answer) {
+    auto types = wire::parse_types(answer);
+    if (!types || types->empty()) return false;
+    for (const auto& t : *types) {
+        auto known = std::find_if(types_.begin(), types_.end(),
+                                  [&](const MachineType& k) { return k.name == t.name; });
+        if (known != types_.end())
+            *known = t;
+        else
+            types_.push_back(t);
+    }
+    return true;
+}
+
+bool Catalog::learn(const Value& answer) {
+    if (!merge(answer)) return false;
+    answer_ = answer;
+    return true;
+}
+
+bool Catalog::take(const Value& stored, Revision mark) {
+    if (mark <= stored_.second) return false;
+    stored_ = {stored, mark};
+    return types_.empty() && merge(stored);
+}
+
+const MachineType* Catalog::find(const std::string& name) const {
+    for (const auto& t : types_)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+bool Catalog::outdated() const {
+    auto fixed = [](const Value& answer) {
+        std::set<std::tuple<std::string, Milli, Milli, Milli, std::vector<std::string>>> out;
+        if (auto types = wire::parse_types(answer))
+            for (const auto& t : *types) out.emplace(t.name, t.size.cores, t.size.cards, t.size.ram, t.zones);
+        return out;
+    };
+    return fixed(stored_.first) != fixed(answer_);
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/catalog.hpp
@@ -0,0 +1,38 @@
+#pragma once
+// Machine types as the cloud tells them, or as the store has kept them for times when the cloud is out of
+// reach (prices in those may be old).
+
+#include <deque>
+#include <string>
+
+#include "state/store.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+class Catalog {
+  public:
+    /// An answer of the cloud. False if it tells nothing.
+    bool learn(const Value& answer);
+    /// News of the record that the leader keeps. True if something was learnt from it.
+    bool take(const Value& stored, Revision mark);
+
+    const MachineType* find(const std::string& name) const;
+    /// Addresses in it stay valid.
+    const std::deque<MachineType>& types() const { return types_; }
+    bool empty() const { return types_.empty(); }
+    /// The cloud's last answer, null: none yet.
+    const Value& answer() const { return answer_; }
+    Revision stored_mark() const { return stored_.second; }
+    /// Whether the store's record differs from the cloud's answer in anything but prices and times.
+    bool outdated() const;
+
+  private:
+    bool merge(const Value& answer);
+
+    std::deque<MachineType> types_;
+    Value answer_;
+    std::pair<Value, Revision> stored_;
+};
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/feed.hpp
@@ -0,0 +1,68 @@
+#pragma once
+// Follows the store: reads everything once, then looks at what has changed in even steps. Each look also
+// proves that everything known was current when it was sent, which answers to users rest on.
+
+#include <functional>
+#include <list>
+#include <set>
+#include <string>
+
+#include "state/store.hpp"
+
+namespace cottonway {
+
+class Feed {
+  public:
+    class Reader {
+      public:
+        virtual ~Reader() = default;
+        /// A record as it is, or as it has become; null: it is gone.
+        virtual void take(const std::string& key, const Value* value, Revision mark) = 0;
+        /// Everything has been read: what is not among `seen` is not there as of `ledger`.
+        virtual void reread(const std::set<std::string>& seen, Revision ledger) = 0;
+    };
+    Feed(Host& host, Store& store, const Settings& settings, Reader& reader);
+
+    void start() { load(); }
+    /// Called ten times a second: gives up on what has waited for a look too long.
+    void tick();
+
+    bool loaded() const { return loaded_; }
+    Revision ledger() const { return ledger_; }
+    /// When the last look that was answered was sent.
+    Micros confirmed() const { return confirmed_; }
+    Micros confirmed_ago() const { return host_.now() - confirmed_; }
+    /// Calls back once a look that was begun after now has been taken in; false: none was for long.
+    void after_look(std::function<void(bool)> done);
+    /// The same, however long that takes: what a conflict means is in the news.
+    void once_known(std::function<void()> done);
+    /// How many wait for a look.
+    std::size_t waiting() const { return waiters_.size(); }
+
+  private:
+    struct Waiter {
+        Micros since = 0;
+        std::function<void(bool)> done;
+    };
+    void load();
+    void look();
+    void looked(Micros sent);
+
+    Host& host_;
+    Store& store_;
+    Reader& reader_;
+    Micros every_ = 0;
+    bool loaded_ = false;
+    Revision ledger_ = 0;
+    Micros confirmed_ = 0;
+    std::list<Waiter> waiters_;
+};
+
+/// Commits until the outcome is certain. A change that may have been carried out is sent again as it is: a
+/// conflict then tells that it was, or that it never will be. Taken for refused before its news is in, a
+/// split that was made would cost its machines their tasks, and a share that was given away would count here
+/// as well.
+void commit_surely(Host& host, Store& store, Feed& feed, Change change,
+                   std::function<void(const CommitResult&)> done, bool uncertain = false);
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/formats.cpp
@@ -0,0 +1,22 @@
+#include "replica/formats.hpp"
+
+#include <algorithm>
+
+namespace cottonway {
+
+std::uint64_t FormatBook::read_by(const std::string& node) const {
+    auto it = reads_.find(node);
+    return it == reads_.end() ? 0 : it->second;
+}
+
+bool FormatBook::take(const std::string& node, const Value& value) {
+    auto& reads = reads_[node];
+    reads = std::max(reads, wire::count(value, "reads").value_or(0));
+    std::uint64_t least = std::min(read_by(settings_.node), format::kNewest);
+    for (const auto& p : settings_.peers) least = std::min(least, read_by(p.name));
+    if (least <= common_) return false;
+    common_ = least;
+    return true;
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/jobs.cpp
@@ -0,0 +1,171 @@
+#include "replica/jobs.hpp"
+
+#include <algorithm>
+
+#include "log/log.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr std::size_t kMaxViews = 20'000;
+constexpr Micros kWeighGuarantees = 100 * kMillisecond;
+}  // namespace
+
+JobView JobView::of(const Value& record, Revision mark) {
+    JobView v;
+    const auto stage = wire::text(record, "s");
+    v.stage = stage == "done" ? Stage::Done : stage == "cancelled" ? Stage::Cancelled : Stage::Queued;
+    v.tasks = static_cast<int>(wire::count(record, "k").value_or(0));
+    v.done = static_cast<int>(wire::count(record, "fd").value_or(0));
+    v.running = v.final() ? 0 : static_cast<int>(wire::count(record, "fr").value_or(0));
+    v.mark = mark;
+    v.ended_ms = static_cast<std::int64_t>(wire::count(record, "end").value_or(0));
+    return v;
+}
+
+JobView JobView::as_cancelled() const {
+    JobView v = *this;
+    v.stage = Stage::Cancelled;
+    v.running = 0;
+    return v;
+}
+
+bool JobBook::take(const std::string& ref, const Value& value, Revision mark, Micros now) {
+    JobView view = JobView::of(value, mark);
+    const JobView* old = known(ref);
+    // News of our own earlier writes may come after their results: what is older than known is dropped.
+    if (old && old->mark > mark) return false;
+    if (view.final()) pipelines_.over(ref, view.stage == Stage::Done, view.ended_ms);
+    guarantees_due_ = true;
+    const Value* spec = wire::find(value, "d");
+    if (!spec || view.stage == Stage::Done) {
+        live_.erase(ref);
+    } else {
+        auto [it, added] = live_.try_emplace(ref);
+        LiveJob& job = it->second;
+        if (added) {
+            const auto submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
+            job.since_ms = static_cast<std::int64_t>(
+                wire::number(value, "go").value_or(static_cast<double>(submitted_ms)));
+            if (auto parsed = wire::parse_job(*spec).spec) {
+                if (!view.final())
+                    pipelines_.put(*parsed, submitted_ms, [this](const auto& need) { return fate(need); });
+                job.open = pipelines_.standing(ref).open;
+                job.team = parsed->team;
+                job.need = parsed->need;
+                job.image = parsed->image;
+                job.spot = parsed->spot;
+            }
+        }
+        // Cancelled with one before it, whatever its record says: nobody is told anything else any more.
+        if (!view.final() && pipelines_.standing(ref).orphaned) view = view.as_cancelled();
+        job.record = value;
+        job.mark = mark;
+        job.domain = wire::text(value, "dom").value_or("");
+        if (view.running > 0) image_seen_[{job.image, job.domain}] = now;
+        job.tasks = view.tasks;
+        job.done = view.done;
+        job.running = view.running;
+        job.cancelled = view.stage == Stage::Cancelled;
+        job.held = wire::flag(value, "er").value_or(false);
+    }
+    if (!old || old->mark < mark) remember(ref, view);
+    return true;
+}
+
+bool JobBook::take_part(const std::string& ref, std::size_t part, const Value* value, Revision mark) {
+    auto job = live_.find(ref);
+    if (job == live_.end()) return false;
+    if (!value) {
+        job->second.parts.erase(part);
+        return false;
+    }
+    auto& held = job->second.parts[part];
+    if (held.second >= mark) return false;
+    held = {*value, mark};
+    return true;
+}
+
+const LiveJob* JobBook::find(const std::string& ref) const {
+    auto it = live_.find(ref);
+    return it == live_.end() ? nullptr : &it->second;
+}
+
+void JobBook::remember(const std::string& ref, const JobView& view) {
+    auto it = views_.find(ref);
+    if (it != views_.end()) {
+        it->second.first = view;
+        recent_.splice(recent_.begin(), recent_, it->second.second);
+        return;
+    }
+    recent_.push_front(ref);
+    views_.emplace(ref, std::pair(view, recent_.begin()));
+    if (views_.size() > kMaxViews) {
+        views_.erase(recent_.back());
+        recent_.pop_back();
+    }
+}
+
+const JobView* JobBook::known(const std::string& ref) const {
+    auto it = views_.find(ref);
+    return it == views_.end() ? nullptr : &it->second.first;
+}
+
+Pipelines::Known JobBook::fate(const std::string& ref) const {
+    if (const JobView* view = known(ref); view && view->final())
+        return {view->stage == Stage::Done ? Pipelines::Fate::Done : Pipelines::Fate::Cancelled,
+                view->ended_ms};
+    if (const LiveJob* job = find(ref))
+        return {job->cancelled ? Pipelines::Fate::Cancelled : Pipelines::Fate::Open, 0};
+    // Known only from having been asked after: it may be over without having been in the news.
+    return {};
+}
+
+void JobBook::settle(const std::string& ref) {
+    auto live = live_.find(ref);
+    if (live == live_.end()) return;
+    const Standing s = pipelines_.standing(ref);
+    LiveJob& job = live->second;
+    if (s.orphaned && !job.cancelled) {
+        job.cancelled = true;
+        spdlog::info("job {}: cancelled with {}", ref, pipelines_.cancelled_with(ref));
+        if (const JobView* view = known(ref)) remember(ref, view->as_cancelled());
+    }
+    if (s.open && !std::exchange(job.open, true)) {
+        if (s.since_ms > 0) job.since_ms = std::max(job.since_ms, s.since_ms);
+        spdlog::info("job {}: all that it needs are done, its gate is open", ref);
+    }
+    guarantees_due_ = true;
+}
+
+bool JobBook::within_guarantee(const std::string& ref, Micros now) {
+    if (guarantees_due_ && now - guarantees_at_ >= kWeighGuarantees) {
+        guarantees_due_ = false;
+        guarantees_at_ = now;
+        guaranteed_.clear();
+        std::vector<std::pair<std::pair<std::int64_t, std::string>, const LiveJob*>> order;
+        for (const auto& [name, job] : live_)
+            if (!job.cancelled && job.open) order.push_back({{job.since_ms, name}, &job});
+        std::sort(order.begin(), order.end());
+        std::map<std::string, Resources> left;
+        for (const auto& t : settings_.teams) left[t.name] = t.guarantee;
+        for (const auto& [key, job] : order) {
+            Resources& room = left[job->team];
+            const int tasks = std::max(job->tasks - job->done, 0);
+            room -= {job->need.cores * tasks, job->need.cards * tasks, 0};
+            if (room.cores >= 0 && room.cards >= 0) guaranteed_.insert(key.second);
+        }
+    }
+    return guaranteed_.count(ref) > 0;
+}
+
+Micros JobBook::image_seen(const std::string& image, const std::string& domain) const {
+    auto it = image_seen_.find({image, domain});
+    return it == image_seen_.end() ? 0 : it->second;
+}
+
+void JobBook::forget_images(Micros before) {
+    std::erase_if(image_seen_, [before](const auto& i) { return i.second < before; });
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/replica/members.hpp
@@ -0,0 +1,51 @@
+#pragma once
+// Who is there, as the store tells: controllers that are alive, the leading one, and who holds which domain.
+// Holds state and decides nothing. Times are microseconds of this process's steady clock.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "state/store.hpp"
+
+namespace cottonway {
+
+/// Who holds something (a domain, the lead), and since which change.
+struct Held {
+    std::string holder;
+    Revision mark = 0;
+};
+
+class Members {
+  public:
+    /// News of a node's key. True if the node has just become silent.
+    bool take_live(const std::string& node, bool alive, Micros now);
+    /// A node that was not there when everything was read: nothing is known of it from before.
+    void missed(const std::string& node, Micros now);
+    /// True if this is newer than what is known.
+    bool take_domain(const std::string& name, const Value& value, Revision mark);
+    bool take_leader(const Value& value, Revision mark);
+    /// What we have just committed ourselves.
+    void set_domain(const std::string& name, Held held) { domains_[name] = std::move(held); }
+    void set_leader(Held held) { leader_ = std::move(held); }
+
+    bool alive(const std::string& node) const { return alive_.count(node) > 0; }
+    const std::set<std::string>& alive() const { return alive_; }
+    /// When it was first heard of, 0: it is not alive.
+    Micros alive_since(const std::string& node) const;
+    /// When its end was heard of; nothing while it is alive or was never heard of.
+    std::optional<Micros> silent_since(const std::string& node) const;
+    const Held& leader() const { return leader_; }
+    const std::map<std::string, Held>& domains() const { return domains_; }
+    const Held* domain(const std::string& name) const;
+
+  private:
+    std::set<std::string> alive_;
+    std::map<std::string, Micros> alive_since_;
+    std::map<std::string, Micros> silent_since_;
+    Held leader_;
+    std::map<std::string, Held> domains_;
+};
+
+}  // namespace cottonway
--- a/src/core/pipelines.cpp
+++ b/src/replica/pipelines.cpp
@@ -1,4 +1,4 @@
-#include "core/pipelines.hpp"
+#include "replica/pipelines.hpp"
 
 #include <algorithm>
 #include <utility>
--- /dev/null
+++ b/src/replica/shares.cpp
@@ -0,0 +1,58 @@
+#include "replica/shares.hpp"
+
+#include <algorithm>
+
+namespace cottonway {
+
+void ShareBook::take(const std::string& domain, const Value* value, Revision mark) {
+    Stored& s = stored_[domain];
+    if (value && mark > s.mark) s = {parse_shares(*value), mark};
+}
+
+const ShareBook::Stored* ShareBook::find(const std::string& domain) const {
+    auto it = stored_.find(domain);
+    return it == stored_.end() ? nullptr : &it->second;
+}
+
+Resources ShareBook::shared_out(const std::string& team) const {
+    Resources sum;
+    for (const auto& [name, s] : stored_)
+        if (auto part = s.shares.find(team); part != s.shares.end()) sum += part->second;
+    return sum;
+}
+
+Resources ShareBook::part(const std::string& domain, const std::string& team) const {
+    const auto limited =
+        std::find_if(teams_.begin(), teams_.end(), [&](const Team& t) { return t.name == team; });
+    if (limited == teams_.end()) return {};
+    Resources ours;
+    if (const Stored* stored = find(domain)) {
+        if (auto held = stored->shares.find(team); held != stored->shares.end()) ours = held->second;
+        if (auto giving = giving_.find(domain); giving != giving_.end())
+            if (auto g = giving->second.find(team); g != giving->second.end()) ours -= g->second;
+    }
+    const Resources sum = shared_out(team);
+    auto scale = [](Milli part_of, Milli limit, Milli total) {
+        if (limit == kNoLimit) return kNoLimit;
+        return total > limit ? static_cast<Milli>(static_cast<double>(part_of) * static_cast<double>(limit) /
+                                                  static_cast<double>(total))
+                             : part_of;
+    };
+    return {scale(ours.cores, limited->limit.cores, sum.cores),
+            scale(ours.cards, limited->limit.cards, sum.cards), 0};
+}
+
+void ShareBook::giving(const std::string& from, const std::string& to, const std::string& team,
+                       const Resources& amount) {
+    busy_.insert(from);
+    busy_.insert(to);
+    giving_[from][team] = amount;
+}
+
+void ShareBook::given(const std::string& from, const std::string& to) {
+    giving_.erase(from);
+    busy_.erase(from);
+    busy_.erase(to);
+}
+
+}  // namespace cottonway
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -85,6 +85,13 @@
     bool announces_format = true;  // false: like the version before (tests)
     OperatorSettings ops;
 
+    /// The zone of a controller, "" if it is not known.
+    std::string zone_of(const std::string& other) const {
+        if (other == node) return zone;
+        for (const auto& p : peers)
+            if (p.name == other) return p.zone;
+        return "";
+    }
     /// The times that the objectives of a kind set for a class, the shortest first.
     std::vector<Micros> goals(const std::string& kind, const std::string& job_class) const {
         std::vector<Micros> times;
--- a/src/state/pieces.cpp
+++ b/src/state/pieces.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
-#include "core/records.hpp"
+#include "state/records.hpp"
 
 namespace cottonway::pieces {
 
--- a/src/core/records.cpp
+++ b/src/state/records.cpp
@@ -1,4 +1,4 @@
-#include "core/records.hpp"
+#include "state/records.hpp"
 
 #include <algorithm>
 
@@ -10,6 +10,10 @@
     return it == machines.end() ? nullptr : &*it;
 }
 
+const Block::Machine* Block::find(const std::string& name) const {
+    return const_cast<Block*>(this)->find(name);
+}
+
 Value Block::value() const {
     Value list = Value::array();
     for (const auto& m : machines) {
--- a/src/core/records.hpp
+++ b/src/state/records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What stands in the state service: keys, and the records of blocks and shares.
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
 inline const std::string piece = "c/0/";
 }  // namespace keys
 
+/// What a job's record says of it. Done and cancelled are final.
+enum class Stage : std::uint8_t { Queued, Done, Cancelled };
+
 /// Machines of one type, zone and kind that are leased together: one record, one change for all of them.
 struct Block {
     struct Machine {
@@ -47,6 +51,7 @@
     Revision mark = 0;
 
     Machine* find(const std::string& name);
+    const Machine* find(const std::string& name) const;
     Value value() const;
     /// Also reads the previous version's record of a single machine.
     static std::optional<Block> parse(const std::string& id, const Value& v, Revision mark);
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -118,7 +118,7 @@
     w->run(10 * kSecond);
     // The records follow, and it stays so after a restart of all.
     for (const char* ref : {"req-000002", "req-000003", "req-000004"})
-        EXPECT_FALSE(w->node(0)->live_jobs().count(ref)) << ref;
+        EXPECT_FALSE(w->node(0)->replica().jobs.live().count(ref)) << ref;
     for (int i = 0; i < 3; ++i) w->crash(i, kSecond);
     w->run(6 * kSecond);
     for (const char* ref : {"req-000002", "req-000003", "req-000004", "req-000005"})
@@ -155,7 +155,7 @@
     w->run(300 * kMillisecond);
     EXPECT_EQ(stage(other), "cancelled");
     w->run(12 * kSecond);
-    EXPECT_FALSE(w->node(other)->live_jobs().count("req-000002")) << "its record has followed";
+    EXPECT_FALSE(w->node(other)->replica().jobs.live().count("req-000002")) << "its record has followed";
 }
 
 TEST(Pipelines, CancelledIsInheritedThroughDeathsBeforeAnyRecordFollows) {
@@ -294,8 +294,8 @@
     w->run(12 * kSecond);
     auto since = [&]() -> std::int64_t {
         for (int i = 0; i < 3; ++i)
-            if (w->node(i) && w->node(i)->live_jobs().count("req-000002"))
-                return w->node(i)->live_jobs().at("req-000002").since_ms;
+            if (w->node(i) && w->node(i)->replica().jobs.live().count("req-000002"))
+                return w->node(i)->replica().jobs.live().at("req-000002").since_ms;
         return 0;
     };
     const auto before = since();
