--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -5,12 +5,13 @@
 #include "core/authority.hpp"
 #include "core/leases.hpp"
 #include "log/log.hpp"
+#include "recovery/dividing.hpp"
 
 namespace cottonway {
 
 namespace {
-constexpr Micros kAdoptStep = 400 * kMillisecond;  // between the turns of those who could adopt a domain
-constexpr Micros kSettled = 4 * kSecond;           // alive for this long before a domain is handed over
+constexpr Micros kHandOverEvery = 4 * kSecond;
+constexpr Micros kAtStart = 10 * kSecond;  // what was taken at our start is given back sooner for this long
 }  // namespace
 
 Owner* Holdings::find(const std::string& domain) const {
@@ -41,18 +42,34 @@
     if (!feed_.loaded() || !presence_.announced() || replica_.types.empty()) return;
     if (feed_.confirmed_ago() > 2 * kSecond) return;  // what is known may be old
     if (!replica_.members.domain(self) && !acquiring_.count(self)) return acquire(self, true);
+    recovery::Situation s;
+    s.self = self;
+    s.now = now;
+    // As long as any other end takes to be noticed.
+    s.come_back = context_.settings().ops.live_ttl;
+    for (const auto& node : replica_.members.alive()) s.alive[node] = replica_.machines_at(node);
+    s.alive.try_emplace(self, 0);
+    std::vector<std::string> ours;
     for (const auto& [name, d] : replica_.members.domains()) {
-        if (acquiring_.count(name) || find(name)) continue;
-        // A new process knows that its own former one is dead and takes its domains back at once.
-        if (d.holder == self) return acquire(name, false);
-        if (replica_.members.alive(d.holder)) {
-            orphaned_since_.erase(name);
-            continue;
+        if (find(name)) continue;
+        if (acquiring_.count(name)) {
+            s.alive[self] += replica_.machines_in(name);
+        } else if (d.holder == self) {
+            // A new process knows that its own former one is dead and takes its domains back at once.
+            ours.push_back(name);
+        } else if (replica_.members.alive(d.holder)) {
+            orphaned_.erase(name);
+        } else {
+            const auto& o = orphaned_.try_emplace(name, Orphaned{now, !replica_.members.ever_alive(d.holder)})
+                                .first->second;
+            s.orphans.push_back({name, replica_.machines_in(name), o.since, o.before_us});
         }
-        const Micros since = orphaned_since_.try_emplace(name, now).first->second;
-        if (now - since >= static_cast<Micros>(replica_.rank_among_alive(name)) * kAdoptStep)
-            return acquire(name, false);
     }
+    for (const auto& name : recovery::to_take(s)) {
+        if (orphaned_.at(name).before_us) taken_at_start_[name] = now;
+        ours.push_back(name);
+    }
+    for (const auto& name : ours) acquire(name, false);
 }
 
 void Holdings::acquire(const std::string& name, bool create) {
@@ -106,7 +123,7 @@
 }
 
 void Holdings::on_domain(const std::string& name) {
-    orphaned_since_.erase(name);
+    orphaned_.erase(name);
     const Owner* o = find(name);
     const Held& held = replica_.members.domains().at(name);
     if (!o || held.mark <= o->mark()) return;
@@ -128,33 +145,37 @@
 
 void Holdings::hand_over() {
     const Micros now = context_.host().now();
-    if (now - handed_over_at_ < kSettled || feed_.confirmed_ago() > kSecond || !leases_.spread_out()) return;
-    const Owner* least = nullptr;
-    int held = 0;
+    if (now - handed_over_at_ < kHandOverEvery || feed_.confirmed_ago() > kSecond || !leases_.spread_out())
+        return;
+    const std::string& self = context_.settings().node;
+    std::vector<recovery::Holding> held;
     for (const auto& [name, o] : owners_) {
-        if (!o || o->machines().empty()) continue;
-        if (!o->active()) return;
-        ++held;
-        if (!least || o->machines().size() < least->machines().size()) least = o.get();
+        auto taken = taken_at_start_.find(name);
+        const bool at_start = taken != taken_at_start_.end() && now - taken->second < kAtStart;
+        if (o) held.push_back({name, o->machines().size(), o->active(), at_start});
     }
-    if (held < 2) return;
-    for (const auto& node : replica_.members.alive()) {
-        if (node == context_.settings().node || replica_.machines_at(node) > 0 ||
-            now - replica_.members.alive_since(node) < kSettled)
-            continue;
-        handed_over_at_ = now;
-        const std::string name = least->domain();
+    if (held.size() < 2) return;
+    std::vector<recovery::Receiver> receivers;
+    for (const auto& node : replica_.members.alive())
+        if (node != self && replica_.machines_at(node) == 0)
+            receivers.push_back({node, now - replica_.members.alive_since(node)});
+    auto moves = recovery::to_hand_over(self, std::move(held), std::move(receivers));
+    if (moves.empty()) return;
+    if (moves.size() > context_.settings().txn_ops) moves.resize(context_.settings().txn_ops);
+    handed_over_at_ = now;
+    Change change;
+    change.priority = Priority::Urgent;
+    std::vector<std::pair<std::string, Value>> writes;
+    for (const auto& [name, node] : moves) {
         spdlog::info("domain {}: handed over to {}", name, node);
-        const Value record{{"holder", node}};
-        Change change;
-        change.priority = Priority::Urgent;
-        change.when.push_back({keys::domain + name, least->mark()});
-        change.then.push_back({keys::domain + name, record});
-        context_.store().commit(std::move(change), [this, name, record](const CommitResult& r) {
-            if (r.status == CommitStatus::Ok) replica_.take(keys::domain + name, &record, r.revision);
-        });
-        return;
+        change.when.push_back({keys::domain + name, find(name)->mark()});
+        writes.emplace_back(keys::domain + name, Value{{"holder", node}});
+        change.then.push_back({writes.back().first, writes.back().second});
     }
+    context_.store().commit(std::move(change), [this, writes](const CommitResult& r) {
+        if (r.status != CommitStatus::Ok) return;
+        for (const auto& [key, record] : writes) replica_.take(key, &record, r.revision);
+    });
 }
 
 }  // namespace cottonway
--- a/src/core/holdings.hpp
+++ b/src/core/holdings.hpp
@@ -23,7 +23,7 @@
 
     /// Takes our own domain, and those whose holder has ended when it is our turn.
     void consider();
-    /// A node that holds several domains with machines gives one to a node that holds none, once that one has
+    /// A node that holds several domains with machines gives some to nodes that hold none, once those have
     /// been alive for a while.
     void hand_over();
     /// Somebody else holds the domain, or may: from here on nothing is decided in it.
@@ -50,7 +50,12 @@
     std::map<std::string, std::unique_ptr<Owner>> owners_;
     std::vector<std::unique_ptr<Owner>> retired_;  // destroyed by the next step, not in the middle of a call
     std::set<std::string> acquiring_;
-    std::map<std::string, Micros> orphaned_since_;
+    struct Orphaned {
+        Micros since = 0;
+        bool before_us = false;
+    };
+    std::map<std::string, Orphaned> orphaned_;
+    std::map<std::string, Micros> taken_at_start_;  // domains of holders that had gone before us
     Micros handed_over_at_ = 0;
 };
 
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -98,6 +98,13 @@
     listener_.on_news();
 }
 
+std::size_t Replica::machines_in(const std::string& domain) const {
+    std::size_t n = 0;
+    for (const auto& [id, block] : blocks.all())
+        if (block.domain == domain) n += block.machines.size();
+    return n;
+}
+
 std::size_t Replica::machines_at(const std::string& node) const {
     std::size_t n = 0;
     for (const auto& [id, block] : blocks.all())
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -39,6 +39,8 @@
     /// Machine types, as the cloud has just told them.
     void learn(const Value& answer);
 
+    /// Machines of a domain, and of all domains that a node holds.
+    std::size_t machines_in(const std::string& domain) const;
     std::size_t machines_at(const std::string& node) const;
     /// Our turn among the nodes that are alive: who holds the fewest machines comes first.
     std::size_t rank_among_alive(const std::string& what) const;
