--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -31,14 +31,15 @@
       feed_(host, store_, settings_, replica_),
       presence_(host, store_, settings_, replica_),
       leadership_(host, store_, settings_, feed_, replica_, presence_),
-      holdings_(*this, feed_, replica_, presence_, leases_),
+      history_(host, store_, settings_, feed_, replica_, leadership_),
+      holdings_(*this, feed_, replica_, presence_, leases_, history_),
       leases_(host, store_, settings_, feed_, replica_, holdings_, leadership_, fleet_, peers_),
       peers_(host, settings_, feed_, replica_, holdings_, leadership_, fleet_),
       fleet_(host, settings_, replica_, holdings_, leadership_, leases_, peers_),
       sharing_(host, store_, settings_, feed_, replica_, holdings_, leadership_, leases_),
       barter_(host, replica_, holdings_, leases_, sharing_, peers_),
       relays_(host, settings_, feed_, replica_, presence_, holdings_, leadership_, leases_, peers_),
-      users_(host, store_, settings_, feed_, replica_, holdings_, peers_) {}
+      users_(host, store_, settings_, feed_, replica_, holdings_, peers_, history_) {}
 
 Controller::~Controller() {
     holdings_.end();
@@ -74,6 +75,7 @@
     announce_format();
     replica_.jobs.pipelines().weigh();
     replica_.settle();
+    history_.tick();
     users_.read_unknown();
     sweep_pieces();
     leases_.split_blocks();
@@ -124,9 +126,9 @@
 
 // ---------------------------------------------------------------- news
 
-void Controller::on_job(const std::string& ref, const Value& value, Revision mark) {
+void Controller::on_job(const std::string& ref, Place place, const Value& value, Revision mark) {
     for (const auto& [name, owner] : holdings_.all())
-        if (owner && owner->active()) owner->on_job(ref, value, mark);
+        if (owner && owner->active()) owner->on_job(ref, place, value, mark);
 }
 
 void Controller::on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -8,6 +8,7 @@
 
 #include "core/barter.hpp"
 #include "core/fleet.hpp"
+#include "core/history.hpp"
 #include "core/relays.hpp"
 #include "core/users.hpp"
 
@@ -45,7 +46,10 @@
     Standing standing(const std::string& ref) const override {
         return replica_.jobs.pipelines().standing(ref);
     }
-    bool all_new() const override { return replica_.formats.common(format::kPipelines); }
+    bool all_read(std::uint64_t format) const override { return replica_.formats.common(format); }
+    void settled(const std::string& ref, const Value& value, Revision mark) override {
+        replica_.take(keys::job + ref, &value, mark);
+    }
     std::optional<Micros> peer_ended(std::size_t peer) const override;
     void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
                       std::function<void(bool)> done) override {
@@ -53,7 +57,7 @@
     }
 
     // Replica::Listener.
-    void on_job(const std::string& ref, const Value& value, Revision mark) override;
+    void on_job(const std::string& ref, Place place, const Value& value, Revision mark) override;
     void on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) override;
     void on_standing(const std::string& ref) override;
     void on_machine(const Block& block, const Block::Machine& machine) override;
@@ -76,6 +80,7 @@
     Feed feed_;
     Presence presence_;
     Leadership leadership_;
+    History history_;
     Holdings holdings_;
     Leases leases_;
     Peers peers_;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -130,11 +130,11 @@
         ordinary -= need - from_spot;
         if (!context_.store().room(Priority::Normal)) return;
         Change change;
+        change.when = as_known(job);
         change.when.push_back({keys::domain + domain_, mark_});
-        change.when.push_back({keys::job + ref, part.mark});
         Value value = part_value(job, 0, false);
         value["dom"] = to;
-        change.then.push_back({keys::job + ref, value});
+        change.then.push_back({key_of(job, 0), value});
         change.purpose = "rehome";
         part.in_flight = true;
         job.leaving = true;
--- /dev/null
+++ b/src/core/history.hpp
@@ -0,0 +1,54 @@
+#pragma once
+// Keeps what is over out of the way (docs/history.md). Final records are not read at a start, so of a job
+// that was read under c/active/ it has to be proven that it is not over; what is left over of those that are
+// is dropped; and once no record of old form is left, the leader says so for good.
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/leadership.hpp"
+#include "replica/replica.hpp"
+
+namespace cottonway {
+
+class History {
+  public:
+    History(Host& host, Store& store, const Settings& settings, Feed& feed, Replica& replica,
+            const Leadership& leadership)
+        : host_(host),
+          store_(store),
+          settings_(settings),
+          feed_(feed),
+          replica_(replica),
+          leadership_(leadership) {}
+
+    /// Finds out which of these live jobs are over: their final records are taken in, the others are proven
+    /// to go on. `drop`: what is left over of those that are over is dropped in a quiet moment; by the holder
+    /// of their domain. Calls back with whether everything is known now.
+    void prove(const std::vector<std::string>& refs, bool drop, std::function<void(bool known)> done);
+    /// Called ten times a second.
+    void tick();
+
+  private:
+    void look_for_lost();
+    void prove_needed();
+    void drop_left_over();
+    void set_apart();
+    void read_final(const std::string& ref, bool drop, std::function<void(bool known)> done);
+
+    Host& host_;
+    Store& store_;
+    const Settings& settings_;
+    Feed& feed_;
+    Replica& replica_;
+    const Leadership& leadership_;
+    std::set<std::string> reading_;
+    std::vector<Condition> left_over_;
+    bool proving_ = false;
+    bool writing_ = false;
+    Revision closed_seen_ = 0;  // the closing that a look was begun and taken in after
+};
+
+}  // namespace cottonway
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/authority.hpp"
+#include "core/history.hpp"
 #include "core/leases.hpp"
 #include "log/log.hpp"
 #include "recovery/dividing.hpp"
@@ -109,19 +110,41 @@
 
 void Holdings::activate(const std::string& name, Revision mark) {
     feed_.after_look([this, name, mark](bool ok) {
-        Owner* o = find(name);
+        const Owner* o = find(name);
         if (!o || o->mark() != mark) return;
         if (!ok) return activate(name, mark);
-        for (const auto& [ref, job] : replica_.jobs.live()) {
-            if (job.domain != name) continue;
-            o->on_job(ref, job.record, job.mark);
-            for (const auto& [part, value] : job.parts) o->on_part(ref, part, value.first, value.second);
-        }
-        o->activate();
-        context_.wake();
+        prove_jobs(name, mark);
+    });
+}
+
+/// What was read under c/active/ may be over: its final record stands elsewhere. Taken for a job that goes
+/// on, it would run once more.
+void Holdings::prove_jobs(const std::string& name, Revision mark) {
+    std::vector<std::string> refs;
+    for (const auto& [ref, job] : replica_.jobs.live())
+        if (job.domain == name && replica_.jobs.unproven(ref)) refs.push_back(ref);
+    if (refs.empty()) return begin(name, mark);
+    history_.prove(refs, true, [this, name, mark](bool known) {
+        const Owner* o = find(name);
+        if (!o || o->mark() != mark) return;
+        if (known) return prove_jobs(name, mark);
+        context_.host().after(100 * kMillisecond, [this, name, mark] { activate(name, mark); });
     });
 }
 
+void Holdings::begin(const std::string& name, Revision mark) {
+    Owner* o = find(name);
+    if (!o || o->mark() != mark) return;
+    for (const auto& [ref, job] : replica_.jobs.live()) {
+        if (job.domain != name) continue;
+        o->on_job(ref, job.place, job.record, job.mark);
+        o->on_shadow(ref, job.shadow);
+        for (const auto& [part, value] : job.parts) o->on_part(ref, part, value.first, value.second);
+    }
+    o->activate();
+    context_.wake();
+}
+
 void Holdings::on_domain(const std::string& name) {
     orphaned_.erase(name);
     const Owner* o = find(name);
--- a/src/core/holdings.hpp
+++ b/src/core/holdings.hpp
@@ -13,13 +13,19 @@
 
 namespace cottonway {
 
+class History;
 class Leases;
 
 class Holdings {
   public:
     Holdings(OwnerContext& context, Feed& feed, Replica& replica, const Presence& presence,
-             const Leases& leases)
-        : context_(context), feed_(feed), replica_(replica), presence_(presence), leases_(leases) {}
+             const Leases& leases, History& history)
+        : context_(context),
+          feed_(feed),
+          replica_(replica),
+          presence_(presence),
+          leases_(leases),
+          history_(history) {}
 
     /// Takes our own domain, and those whose holder has ended when it is our turn.
     void consider();
@@ -41,12 +47,15 @@
   private:
     void acquire(const std::string& name, bool create);
     void activate(const std::string& name, Revision mark);
+    void prove_jobs(const std::string& name, Revision mark);
+    void begin(const std::string& name, Revision mark);
 
     OwnerContext& context_;
     Feed& feed_;
     Replica& replica_;
     const Presence& presence_;
     const Leases& leases_;
+    History& history_;
     std::map<std::string, std::unique_ptr<Owner>> owners_;
     std::vector<std::unique_ptr<Owner>> retired_;  // destroyed by the next step, not in the middle of a call
     std::set<std::string> acquiring_;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -1,16 +1,20 @@
 // The owner and the records of its jobs: what is read, adopted, gathered and written.
 
+#include "replica/jobs.hpp"
+
 #include <algorithm>
 #include <utility>
 
 #include "core/owner.hpp"
 #include "log/log.hpp"
+#include "replica/formats.hpp"
 
 namespace cottonway {
 
 namespace {
 
 constexpr std::size_t kUsualBinding = 22;
+constexpr Micros kMoveEvery = 200 * kMillisecond;
 constexpr Micros kOrphanPatience = 5 * kSecond;  // of records of jobs that are cancelled with another
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
 constexpr Micros kDefer = 4 * kSecond;
@@ -19,10 +23,6 @@
 constexpr Micros kAdmitPatience = 1'500 * kMillisecond;  // then the user had better come back
 constexpr Micros kIdlePatience = 60 * kSecond;  // of binds of idle work, before they compete with others
 
-std::string part_key(const std::string& ref, std::size_t part) {
-    return part == 0 ? keys::job + ref : keys::part + ref + "/" + std::to_string(part);
-}
-
 }  // namespace
 
 std::size_t part_tasks_for(std::size_t value_bytes, std::size_t spec_bytes) {
@@ -31,7 +31,21 @@
     return std::clamp<std::size_t>(left / (kUsualBinding + 1), 16, 4096);
 }
 
-void Owner::on_job(const std::string& ref, const Value& value, Revision mark) {
+std::string Owner::key_of(const Job& job, std::size_t part) const {
+    const std::string& ref = job.spec.ref;
+    return part == 0 ? record_key(job.place, ref) : keys::part + ref + "/" + std::to_string(part);
+}
+
+/// The job's record is as we know it, and it is not over.
+std::vector<Condition> Owner::as_known(const Job& job) const {
+    return JobBook::as_known(job.spec.ref, job.place, job.parts[0].mark, job.shadow);
+}
+
+void Owner::on_shadow(const std::string& ref, Revision shadow) {
+    if (Job* job = find_job(ref)) job->shadow = std::max(job->shadow, shadow);
+}
+
+void Owner::on_job(const std::string& ref, Place place, const Value& value, Revision mark) {
     Job* known = find_job(ref);
     if (!known) {
         if (wire::text(value, "dom") != domain_) return;
@@ -54,6 +68,7 @@
         jobs_.emplace(ref, std::move(job));
         if (known->orphaned) cancel(*known);
         known->held = wire::flag(value, "er").value_or(false);
+        known->place = place;
         adopt_part(*known, 0, value, mark);
         plan_due_ = true;
         context_.wake();
@@ -66,6 +81,9 @@
     if (wire::text(value, "dom") != domain_) return given_away(job);
     // A final record holds no tasks: taken as an ordinary one, the job would start all over again.
     if (!wire::find(value, "d")) return drop_job(ref);
+    if (place == Place::Job && job.place == Place::Active) return;  // it came late and counts for nothing
+    if (place != job.place) job.shadow = 0;
+    job.place = place;
     adopt_part(job, 0, value, mark);
     context_.wake();
 }
@@ -101,6 +119,7 @@
     divide(*job,
            part_tasks_for(context_.settings().value_bytes, pieces::stored_size(part_value(*job, 0, false))));
     job->spec.needs = std::move(needs);
+    if (context_.all_read(format::kHistory)) job->place = Place::Active;
     job->admitting = std::move(done);
     touch(*job, 0);
     jobs_.emplace(ref, std::move(job));
@@ -240,7 +259,8 @@
         if (final_record) {
             v["fd"] = job.done;
             // Jobs that need it count from then.
-            if (job.stage != Stage::Cancelled && context_.all_new()) v["end"] = context_.host().wall_ms();
+            if (job.stage != Stage::Cancelled && context_.all_read(format::kPipelines))
+                v["end"] = context_.host().wall_ms();
             return v;
         }
         v["d"] = wire::job_value(job.spec);
@@ -381,9 +401,14 @@
     change.priority = priority;
     // Write ahead: on the records as we know them, so that no ousted holder binds and no cancelled job is
     // bound.
+    change.when = as_known(job);
     change.when.push_back({keys::domain + domain_, mark_});
-    change.when.push_back({keys::job + ref, job.parts[0].mark});
-    if (index > 0) change.when.push_back({part_key(ref, index), part.mark});
+    if (index > 0) change.when.push_back({key_of(job, index), part.mark});
+    // Nothing of old form may be added once that is closed, nor beside a record of the new form.
+    if (job.admitting && job.place == Place::Job) {
+        change.when.push_back({keys::active + ref, 0});
+        change.when.push_back({keys::history, 0});
+    }
     Value value = part_value(job, index, final_record);
     std::vector<AttemptKey> binding;
     std::vector<int> done;
@@ -393,19 +418,39 @@
             binding.push_back({ref, static_cast<int>(i), job.slots[i].attempt});
         if (job.slots[i].state == SlotState::DonePending) done.push_back(static_cast<int>(i));
     }
-    change.then.push_back({part_key(ref, index), value});
+    // What is of old form moves where history is out of the way, when changes are plenty.
+    const bool moves = index == 0 && !final_record && !job.admitting && job.place == Place::Job &&
+                       context_.all_read(format::kHistory) && context_.store().room(Priority::Deferrable);
+    const Place place = moves ? Place::Active : job.place;
+    if (moves) {
+        change.when.push_back({keys::active + ref, 0});
+        change.then.push_back({keys::job + ref, Value()});
+    }
+    change.then.push_back({final_record ? keys::job + ref
+                           : index == 0 ? record_key(place, ref)
+                                        : key_of(job, index),
+                           value});
+    // Where changes are plenty, what it was goes with it; else that waits for a quiet moment.
+    const bool drops =
+        final_record && job.place == Place::Active && context_.store().room(Priority::Deferrable);
+    if (drops) change.then.push_back({keys::active + ref, Value()});
     change.purpose = job.admitting ? "admit" : final_record ? "over" : binding.empty() ? "done" : "bind";
     part.dirty = false;
     part.in_flight = true;
-    if (!job.admitting) value = nullptr;  // only that one is asked for
-    context_.store().commit(std::move(change), [this, alive = alive_, ref, index, value = std::move(value),
-                                                final_record, binding, done](const CommitResult& result) {
-        if (*alive) written(ref, index, value, final_record, binding, done, result);
-    });
+    if (!job.admitting && !final_record) value = nullptr;  // only those are asked for
+    const Condition left{keys::active + ref,
+                         final_record && !drops && job.place == Place::Active ? job.parts[0].mark : 0};
+    context_.store().commit(
+        std::move(change), [this, alive = alive_, ref, index, value = std::move(value), final_record, binding,
+                            done, place, left](const CommitResult& result) {
+            if (!*alive) return;
+            if (result.status == CommitStatus::Ok && left.mark > 0) left_over_.push_back(left);
+            written(ref, index, value, final_record, binding, done, place, result);
+        });
 }
 
 void Owner::written(const std::string& ref, std::size_t index, const Value& value, bool final_record,
-                    const std::vector<AttemptKey>& binding, const std::vector<int>& done,
+                    const std::vector<AttemptKey>& binding, const std::vector<int>& done, Place place,
                     const CommitResult& result) {
     Job* job = find_job(ref);
     if (!job) return;
@@ -415,6 +460,8 @@
     context_.wake();
     if (result.status == CommitStatus::Ok) {
         p.mark = result.revision;
+        if (place != job->place) job->shadow = 0;
+        job->place = place;
         for (const auto& key : binding) {
             Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
             if (slot.state != SlotState::Binding || slot.attempt != key.attempt) continue;
@@ -428,11 +475,13 @@
         }
         if (final_record) {
             spdlog::info("job {}: {}", ref, job->stage == Stage::Cancelled ? "cancelled, all gone" : "done");
-            return drop_job(ref);
+            drop_job(ref);
+            // News of what it was before must not bring it back.
+            return context_.settled(ref, value, result.revision);
         }
         dirty_.insert(ref);
         if (auto admitted = std::exchange(job->admitting, nullptr))
-            admitted({CommitStatus::Ok, result.revision, value});
+            admitted({CommitStatus::Ok, result.revision, value, place});
         return;
     }
     if (result.status == CommitStatus::Conflict &&
@@ -457,23 +506,45 @@
     auto& part = known->parts[index];
     if (part.reloading || part.in_flight) return;
     part.reloading = true;
-    context_.store().read(part_key(ref, index), [this, alive = alive_, ref, index](const ReadResult& r) {
-        if (!*alive) return;
-        Job* job = find_job(ref);
-        if (!job) return;
-        if (!r.ok) return reload_later(ref, index);
-        // It is the truth about our own writes only as long as the domain is ours: a new holder numbers its
-        // attempts from the same record, and its binds must not be taken for those of ours that got no
-        // answer.
-        Change ours;
-        ours.when.push_back({keys::domain + domain_, mark_});
-        context_.store().commit(std::move(ours), [this, alive, ref, index, r](const CommitResult& c) {
+    read_record(ref, index,
+                [this, alive = alive_, ref, index](const ReadResult& r, Place place, Revision shadow) {
+                    if (!*alive) return;
+                    Job* job = find_job(ref);
+                    if (!job) return;
+                    if (!r.ok) return reload_later(ref, index);
+                    // It is the truth about our own writes only as long as the domain is ours: a new holder
+                    // numbers its attempts from the same record, and its binds must not be taken for those of
+                    // ours that got no answer.
+                    Change ours;
+                    ours.when.push_back({keys::domain + domain_, mark_});
+                    context_.store().commit(
+                        std::move(ours), [this, alive, ref, index, r, place, shadow](const CommitResult& c) {
+                            if (!*alive) return;
+                            if (c.status == CommitStatus::Conflict) return context_.ousted(domain_);
+                            if (c.status != CommitStatus::Ok) return reload_later(ref, index);
+                            reloaded(ref, index, r, place, shadow);
+                        });
+                });
+}
+
+/// A job's record may stand under either key. What is final under c/job/ goes before what stands under
+/// c/active/, which goes before what is not final under c/job/.
+void Owner::read_record(const std::string& ref, std::size_t index,
+                        std::function<void(const ReadResult&, Place, Revision)> done) {
+    if (index > 0)
+        return context_.store().read(
+            keys::part + ref + "/" + std::to_string(index),
+            [done = std::move(done)](const ReadResult& r) { done(r, Place::Job, 0); });
+    context_.store().read(
+        keys::job + ref, [this, alive = alive_, ref, done = std::move(done)](const ReadResult& job) {
             if (!*alive) return;
-            if (c.status == CommitStatus::Conflict) return context_.ousted(domain_);
-            if (c.status != CommitStatus::Ok) return reload_later(ref, index);
-            reloaded(ref, index, r);
+            const bool final = job.found && !wire::find(job.value, "d");
+            if (!job.ok || final || !context_.all_read(format::kHistory)) return done(job, Place::Job, 0);
+            context_.store().read(keys::active + ref, [job, done](const ReadResult& active) {
+                if (!active.ok || active.found) return done(active, Place::Active, job.mark);
+                done(job, Place::Job, 0);
+            });
         });
-    });
 }
 
 void Owner::reload_later(const std::string& ref, std::size_t index) {
@@ -484,22 +555,65 @@
     });
 }
 
-void Owner::reloaded(const std::string& ref, std::size_t index, const ReadResult& r) {
+void Owner::reloaded(const std::string& ref, std::size_t index, const ReadResult& r, Place place,
+                     Revision shadow) {
     Job* job = find_job(ref);
     if (!job) return;
     job->parts[index].reloading = false;
     const auto stage = wire::text(r.value, "s");
     if (index == 0 && (!r.found || stage == "done" || (stage == "cancelled" && !wire::find(r.value, "d")))) {
         // Our final write went through after all.
-        return drop_job(ref);
+        if (job->place == Place::Active) left_over_.push_back({keys::active + ref, job->parts[0].mark});
+        drop_job(ref);
+        if (r.found) context_.settled(ref, r.value, r.mark);
+        return;
     }
     if (index == 0 && wire::text(r.value, "dom") != domain_) return given_away(*job);
+    if (index == 0) {
+        job->place = place;
+        job->shadow = shadow;
+    }
     if (r.found) adopt_part(*job, index, r.value, r.mark);
     // What is durable of done tasks was set by adopt_part; the rest is written again.
     touch(*job, index);
     context_.wake();
 }
 
+/// One after another, in quiet moments: each is written anew where it belongs now.
+void Owner::move_out_of_history() {
+    const Micros now = context_.host().now();
+    if (!context_.all_read(format::kHistory) || now - moved_at_ < kMoveEvery ||
+        !context_.store().room(Priority::Deferrable))
+        return;
+    moved_at_ = now;
+    for (auto& [ref, job] : jobs_) {
+        const auto& part = job->parts[0];
+        if (job->place != Place::Job || job->admitting || part.dirty || part.in_flight || part.reloading)
+            continue;
+        return touch(*job, 0);
+    }
+}
+
+/// Records of jobs that are over, in quiet moments. Whoever takes the domain over finds those that are left.
+void Owner::drop_left_over() {
+    std::size_t n = 0;
+    while (!left_over_.empty() && n++ < context_.settings().txn_ops &&
+           context_.store().room(Priority::Deferrable)) {
+        const Condition left = left_over_.back();
+        left_over_.pop_back();
+        Change change;
+        change.priority = Priority::Deferrable;
+        change.when.push_back(left);
+        change.then.push_back({left.key, Value()});
+        change.purpose = "history";
+        context_.store().commit(std::move(change), [this, alive = alive_, left](const CommitResult& r) {
+            // Refused or unanswered: once more. On its mark it is done once, or there is nothing to do.
+            if (*alive && r.status != CommitStatus::Ok && r.status != CommitStatus::Conflict)
+                left_over_.push_back(left);
+        });
+    }
+}
+
 /// The record names another owner. Binds of ours that wait to be written fail on its mark, so they were never
 /// launched; there are no others, since only jobs that were never bound are given away.
 void Owner::given_away(Job& job) {
@@ -524,7 +638,7 @@
         Change change;
         change.priority = Priority::Deferrable;
         change.when.push_back({keys::domain + domain_, mark_});
-        change.then.push_back({part_key(ref, p), Value()});
+        change.then.push_back({key_of(job, p), Value()});
         change.purpose = "cleanup";
         context_.store().commit(std::move(change), [](const CommitResult&) {});
     }
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -183,6 +183,10 @@
         if (m.notice && now <= m.notice_end) drain_noticed(m);
     }
     flush_due_ = true;
+    if (active_) {
+        drop_left_over();
+        move_out_of_history();
+    }
     if (std::any_of(jobs_.begin(), jobs_.end(), [now](const auto& j) {
             const Job& job = *j.second;
             return job.stage == Stage::Queued && job.open && job.idle > 0 &&
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -139,6 +139,7 @@
     CommitStatus status = CommitStatus::Unavailable;
     Revision revision = 0;
     Value record;
+    Place place = Place::Job;  // where it stands
 };
 
 struct Job {
@@ -187,6 +188,8 @@
     };
     std::size_t part_tasks = 64;
     std::vector<Part> parts;
+    Place place = Place::Job;  // where its record stands, and is written next
+    Revision shadow = 0;       // see LiveJob
 
     /// Set while the record that admits the job is not durable yet: told how that went.
     std::function<void(const Admission&)> admitting;
@@ -228,8 +231,10 @@
     virtual bool within_guarantee(const std::string& ref) = 0;
     /// How the job stands among those that need one another.
     virtual Standing standing(const std::string& ref) const = 0;
-    /// Whether all controllers read what this version writes.
-    virtual bool all_new() const = 0;
+    /// Whether all controllers read a format, so that it may be written.
+    virtual bool all_read(std::uint64_t format) const = 0;
+    /// What our own commit has made final, ahead of the news of it.
+    virtual void settled(const std::string& ref, const Value& value, Revision mark) = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
 
@@ -251,7 +256,9 @@
     // Loading: machines, then jobs, then their parts, then activate.
     void on_machine(const Block& block, const Block::Machine& entry);
     void on_machine_gone(const std::string& name, const char* why);
-    void on_job(const std::string& ref, const Value& value, Revision mark);
+    void on_job(const std::string& ref, Place place, const Value& value, Revision mark);
+    /// What stands under c/job/ besides a job's record under c/active/.
+    void on_shadow(const std::string& ref, Revision shadow);
     void on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark);
     void activate();
 
@@ -368,14 +375,21 @@
     void drain_noticed(Machine& m);
 
     void touch(Job& job, std::size_t part);
+    std::vector<Condition> as_known(const Job& job) const;
+    std::string key_of(const Job& job, std::size_t part) const;
+    void drop_left_over();
+    void move_out_of_history();
     void flush_jobs();
     void write_part(Job& job, std::size_t part, Priority priority);
     void written(const std::string& ref, std::size_t part, const Value& value, bool final_record,
-                 const std::vector<AttemptKey>& binding, const std::vector<int>& done,
+                 const std::vector<AttemptKey>& binding, const std::vector<int>& done, Place place,
                  const CommitResult& result);
     void reload(const std::string& ref, std::size_t part);
     void reload_later(const std::string& ref, std::size_t part);
-    void reloaded(const std::string& ref, std::size_t part, const ReadResult& r);
+    void read_record(const std::string& ref, std::size_t part,
+                     std::function<void(const ReadResult&, Place, Revision shadow)> done);
+    void reloaded(const std::string& ref, std::size_t part, const ReadResult& r, Place place,
+                  Revision shadow);
     Value part_value(const Job& job, std::size_t part, bool final_record) const;
     void adopt_part(Job& job, std::size_t part, const Value& value, Revision mark);
 
@@ -401,6 +415,8 @@
     std::map<std::string, Resources> short_of_share_;
     std::map<std::pair<std::string, int>, int> stray_tasks_;
     std::set<std::string> dirty_;
+    std::vector<Condition> left_over_;  // records under c/active/ of jobs that are over, to be dropped
+    Micros moved_at_ = 0;
     std::vector<std::string> due_;  // machines to send orders to
     int direct_calls_ = 0;
     bool plan_due_ = true;
--- a/src/core/users.cpp
+++ b/src/core/users.cpp
@@ -139,7 +139,7 @@
                    respond = std::move(respond)](const Admission& a) mutable {
         switch (a.status) {
             case CommitStatus::Ok:
-                replica_.take(keys::job + ref, &a.record, a.revision);
+                replica_.take(record_key(a.place, ref), &a.record, a.revision);
                 spdlog::info("job {}: accepted in {} ms: {}", ref, (host_.now() - asked) / kMillisecond,
                              what);
                 if (const JobView* view = known(ref); view && view->final())
@@ -165,14 +165,19 @@
                  {"at", host_.wall_ms()}, {"ps", part_tasks_for(settings_.value_bytes, size + kRecordBytes)}};
     // Cancelled with one before it already: accepted, and over.
     if (standing.orphaned) record = {{"s", "cancelled"}, {"dom", domain}, {"k", spec.tasks}, {"fd", 0}};
+    const Place place =
+        replica_.formats.common(format::kHistory) && !standing.orphaned ? Place::Active : Place::Job;
     Change change;
-    change.when.push_back({keys::job + ref, 0});
-    change.then.push_back({keys::job + ref, record});
+    change.when = {{keys::job + ref, 0}, {keys::active + ref, 0}};
+    // Nothing of old form may be added once that is closed.
+    if (place == Place::Job && !standing.orphaned) change.when.push_back({keys::history, 0});
+    change.then.push_back({record_key(place, ref), record});
     change.priority = idle ? Priority::Normal : Priority::Urgent;
     change.purpose = "admit";
-    store_.commit(std::move(change), [answer = std::move(answer), record](const CommitResult& r) mutable {
-        answer({r.status, r.revision, record});
-    });
+    store_.commit(std::move(change),
+                  [answer = std::move(answer), record, place](const CommitResult& r) mutable {
+                      answer({r.status, r.revision, record, place});
+                  });
 }
 
 void Users::poll(const std::string& ref, ApiResponder respond) {
@@ -187,34 +192,60 @@
     if (const JobView* v = known(ref); v && v->final())
         return respond({200, wire::job_answer(ref, stage_name(*v))});
     if (tries >= kMaxAbortTries || out_of_reach()) return respond(unavailable());
-    if (const LiveJob* live = replica_.jobs.find(ref); tries == 0 && live)
-        return cancel(ref, live->record, live->mark, tries, std::move(respond));
-    store_.read(keys::job + ref,
-                [this, ref, tries, respond = std::move(respond)](const ReadResult& r) mutable {
-                    if (!r.ok) return respond(unavailable());
-                    if (!r.found) return respond({404, Value::object()});
-                    const JobView view = JobView::of(r.value, r.mark);
-                    if (view.final()) {
-                        replica_.take(keys::job + ref, &r.value, r.mark);
-                        return respond({200, wire::job_answer(ref, stage_name(view))});
-                    }
-                    cancel(ref, r.value, r.mark, tries, std::move(respond));
+    if (const LiveJob* live = replica_.jobs.find(ref); tries == 0 && live && !replica_.stray(ref))
+        return cancel(ref, {live->place, live->record, live->mark, live->shadow}, tries, std::move(respond));
+    read_either(
+        ref, [this, ref, tries, respond = std::move(respond)](bool ok, std::optional<Found> found) mutable {
+            if (!ok) return respond(unavailable());
+            if (!found)  // never accepted, or on its way from one key to the other
+                return check(ref, [this, ref, tries, respond = std::move(respond)](
+                                      bool known, const std::optional<JobView>& view) mutable {
+                    if (!known) return respond(unavailable());
+                    if (!view) return respond({404, Value::object()});
+                    abort(ref, tries + 1, std::move(respond));
                 });
+            const JobView view = JobView::of(found->record, found->mark);
+            if (view.final()) {
+                replica_.take(record_key(found->place, ref), &found->record, found->mark);
+                return respond({200, wire::job_answer(ref, stage_name(view))});
+            }
+            // It came late, from a process that has ended, and is accepted only once its holder has moved it.
+            if (found->place == Place::Job && replica_.history_apart()) return respond(unavailable());
+            cancel(ref, std::move(*found), tries, std::move(respond));
+        });
+}
+
+void Users::read_either(const std::string& ref, std::function<void(bool, std::optional<Found>)> done) {
+    store_.read(keys::job + ref, [this, ref, done = std::move(done)](const ReadResult& job) {
+        if (!job.ok) return done(false, std::nullopt);
+        const bool final = job.found && JobView::of(job.value, job.mark).final();
+        if (final || !replica_.formats.common(format::kHistory)) {
+            if (!job.found) return done(true, std::nullopt);
+            return done(true, Found{Place::Job, job.value, job.mark, 0});
+        }
+        store_.read(keys::active + ref, [job, done](const ReadResult& active) {
+            if (!active.ok) return done(false, std::nullopt);
+            if (active.found) return done(true, Found{Place::Active, active.value, active.mark, job.mark});
+            if (!job.found) return done(true, std::nullopt);
+            done(true, Found{Place::Job, job.value, job.mark, 0});
+        });
+    });
 }
 
 /// A commit on the job's record, so it competes with binds there; whoever loses sees the other.
-void Users::cancel(const std::string& ref, Value record, Revision mark, int tries, ApiResponder respond) {
-    record["s"] = "cancelled";
+void Users::cancel(const std::string& ref, Found job, int tries, ApiResponder respond) {
+    job.record["s"] = "cancelled";
+    const std::string key = record_key(job.place, ref);
     Change change;
-    change.when.push_back({keys::job + ref, mark});
-    change.then.push_back({keys::job + ref, record});
+    change.when = JobBook::as_known(ref, job.place, job.mark, job.shadow);
+    change.then.push_back({key, job.record});
     change.priority = Priority::Urgent;
     change.purpose = "cancel";
-    store_.commit(std::move(change), [this, ref, tries, record = std::move(record),
+    store_.commit(std::move(change), [this, ref, key, tries, record = std::move(job.record),
                                       respond = std::move(respond)](const CommitResult& result) mutable {
         if (result.status == CommitStatus::Ok) {
             spdlog::info("job {}: cancelled by its user", ref);
-            replica_.take(keys::job + ref, &record, result.revision);
+            replica_.take(key, &record, result.revision);
             return respond({200, wire::job_answer(ref, "cancelled")});
         }
         if (result.status == CommitStatus::Conflict || result.status == CommitStatus::Unknown)
@@ -259,17 +290,26 @@
     const JobView* view = known(ref);
     if (view && view->final()) return done(true, *view);
     if (out_of_reach()) return done(false, std::nullopt);
+    if (replica_.stray(ref)) return done(false, std::nullopt);
+    // Its final record may stand where nobody reads at a start.
+    if (view && replica_.jobs.unproven(ref))
+        return history_.prove({ref}, false, [this, ref, done = std::move(done)](bool known) mutable {
+            if (!known || replica_.jobs.unproven(ref)) return done(false, std::nullopt);
+            check(ref, std::move(done));
+        });
     if (view) {
         // The next look at the store proves that what is known then is current, also of the jobs before it.
         feed_.after_look([this, ref, done = std::move(done)](bool ok) {
             const JobView* now = known(ref);
-            if (!ok || !now || replica_.jobs.pipelines().unclear(ref)) return done(false, std::nullopt);
+            const auto doubted = [this](const std::string& name) { return replica_.jobs.unproven(name); };
+            if (!ok || !now || replica_.jobs.pipelines().unclear(ref, doubted))
+                return done(false, std::nullopt);
             done(true, *now);
         });
         return;
     }
     Change compare;
-    compare.when.push_back({keys::job + ref, 0});
+    compare.when = {{keys::job + ref, 0}, {keys::active + ref, 0}};
     store_.commit(std::move(compare), [this, ref, done = std::move(done)](const CommitResult& r) mutable {
         if (r.status == CommitStatus::Ok) return done(true, std::nullopt);
         if (r.status == CommitStatus::Conflict) return recheck(ref, 0, std::move(done));
@@ -278,26 +318,26 @@
 }
 
 void Users::recheck(const std::string& ref, int tries, Checked done) {
-    store_.read(keys::job + ref, [this, ref, tries, done = std::move(done)](const ReadResult& r) mutable {
-        if (!r.ok) {
-            if (tries < 1 && store_.reachable()) return recheck(ref, tries + 1, std::move(done));
+    read_either(ref, [this, ref, tries, done = std::move(done)](bool ok, std::optional<Found> found) mutable {
+        if (!ok && tries < 1 && store_.reachable()) return recheck(ref, tries + 1, std::move(done));
+        // None found: it is on its way from one key to the other.
+        if (!ok || !found) return done(false, std::nullopt);
+        const JobView view = JobView::of(found->record, found->mark);
+        if (!view.final() && found->place == Place::Job && replica_.history_apart())
             return done(false, std::nullopt);
-        }
-        if (!r.found) return done(true, std::nullopt);
-        const JobView view = JobView::of(r.value, r.mark);
-        const Value* spec = wire::find(r.value, "d");
+        const Value* spec = wire::find(found->record, "d");
         if (!view.final() && spec && wire::find(*spec, "warp")) {
             // Whether one before it is cancelled is not in its record. What is in the news already is not
             // taken from elsewhere: an owner here relies on their order.
             if (!replica_.jobs.find(ref))
-                replica_.take(keys::job + ref, &r.value, r.mark);
+                replica_.take(record_key(found->place, ref), &found->record, found->mark);
             else
                 replica_.jobs.remember(ref, view);
             if (replica_.jobs.pipelines().standing(ref).orphaned) return done(true, view.as_cancelled());
             return check(ref, std::move(done));
         }
         const JobView* old = known(ref);
-        if (!old || old->mark < r.mark) replica_.jobs.remember(ref, view);
+        if (!old || old->mark < found->mark) replica_.jobs.remember(ref, view);
         done(true, view);
     });
 }
--- a/src/core/users.hpp
+++ b/src/core/users.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/api.hpp"
+#include "core/history.hpp"
 #include "core/holdings.hpp"
 #include "core/peers.hpp"
 
@@ -15,14 +16,15 @@
 class Users {
   public:
     Users(Host& host, Store& store, const Settings& settings, Feed& feed, Replica& replica,
-          const Holdings& holdings, Peers& peers)
+          const Holdings& holdings, Peers& peers, History& history)
         : host_(host),
           store_(store),
           settings_(settings),
           feed_(feed),
           replica_(replica),
           holdings_(holdings),
-          peers_(peers) {}
+          peers_(peers),
+          history_(history) {}
 
     void submit(const Value& body, ApiResponder respond);
     void poll(const std::string& ref, ApiResponder respond);
@@ -42,7 +44,16 @@
     void create(JobSpec spec, ApiResponder respond);
     std::string domain_for(const JobSpec& spec);
     void abort(const std::string& ref, int tries, ApiResponder respond);
-    void cancel(const std::string& ref, Value record, Revision mark, int tries, ApiResponder respond);
+    struct Found {
+        Place place = Place::Job;
+        Value record;
+        Revision mark = 0;
+        Revision shadow = 0;
+    };
+    void cancel(const std::string& ref, Found job, int tries, ApiResponder respond);
+    /// Reads a job's record under either key; none found proves nothing, since it may be on its way from one
+    /// to the other.
+    void read_either(const std::string& ref, std::function<void(bool ok, std::optional<Found>)> done);
     /// A job's state as the store has it now; no view: never accepted. `ok` false: nothing is known.
     void check(const std::string& ref, Checked done);
     void recheck(const std::string& ref, int tries, Checked done);
@@ -57,6 +68,7 @@
     Replica& replica_;
     const Holdings& holdings_;
     Peers& peers_;
+    History& history_;
     std::set<std::string> reading_;  // jobs that are needed and that nothing is known of
     std::uint64_t polls_shed_ = 0;
     Micros shed_logged_ = 0;
--- a/src/replica/feed.cpp
+++ b/src/replica/feed.cpp
@@ -40,17 +40,21 @@
 /// Reads everything once; from then on the news keeps it current.
 void Feed::load() {
     auto seen = std::make_shared<std::set<std::string>>();
+    const Micros began = host_.now();
+    reader_.rereading();
     store_.list(
-        keys::root,
+        keys::root, [this](const std::string& key) { return reader_.go_on_after(key); },
         [this, seen](const Entry& e) {
+            if (reader_.go_on_after(e.key) != e.key) return;  // need not be read
             seen->insert(e.key);
             reader_.take(e.key, &e.value, e.mark);
         },
-        [this, seen](const ListResult& r) {
+        [this, seen, began](const ListResult& r) {
             if (!r.ok) {
                 host_.after(kRetry, [this] { load(); });
                 return;
             }
+            load_ = {r.requests, seen->size(), host_.now() - began};
             reader_.reread(*seen, r.ledger);
             ledger_ = r.ledger;
             loaded_ = true;
--- a/src/replica/feed.hpp
+++ b/src/replica/feed.hpp
@@ -18,6 +18,11 @@
         virtual ~Reader() = default;
         /// A record as it is, or as it has become; null: it is gone.
         virtual void take(const std::string& key, const Value* value, Revision mark) = 0;
+        /// Everything is about to be read, and `take` is called for each record until `reread`.
+        virtual void rereading() = 0;
+        /// From where to go on after a key that has been read: the key itself, or one beyond what need not be
+        /// read.
+        virtual std::string go_on_after(const std::string& key) = 0;
         /// Everything has been read: what is not among `seen` is not there as of `ledger`.
         virtual void reread(const std::set<std::string>& seen, Revision ledger) = 0;
     };
@@ -29,6 +34,13 @@
 
     bool loaded() const { return loaded_; }
     Revision ledger() const { return ledger_; }
+    /// What reading everything took last: requests, records, and time.
+    struct Load {
+        std::uint64_t requests = 0;
+        std::uint64_t records = 0;
+        Micros took = 0;
+    };
+    const Load& load_cost() const { return load_; }
     /// When the last look that was answered was sent.
     Micros confirmed() const { return confirmed_; }
     Micros confirmed_ago() const { return host_.now() - confirmed_; }
@@ -53,6 +65,7 @@
     Reader& reader_;
     Micros every_ = 0;
     bool loaded_ = false;
+    Load load_;
     Revision ledger_ = 0;
     Micros confirmed_ = 0;
     std::list<Waiter> waiters_;
--- a/src/replica/formats.cpp
+++ b/src/replica/formats.cpp
@@ -14,8 +14,12 @@
     reads = std::max(reads, wire::count(value, "reads").value_or(0));
     std::uint64_t least = std::min(read_by(settings_.node), format::kNewest);
     for (const auto& p : settings_.peers) least = std::min(least, read_by(p.name));
-    if (least <= common_) return false;
-    common_ = least;
+    return proven(least);
+}
+
+bool FormatBook::proven(std::uint64_t format) {
+    if (format <= common_) return false;
+    common_ = format;
     return true;
 }
 
--- a/src/replica/formats.hpp
+++ b/src/replica/formats.hpp
@@ -18,7 +18,9 @@
 /// Values in pieces (state/pieces.hpp), jobs that need others (replica/pipelines.hpp), and the time at which
 /// a job ended in its final record.
 constexpr std::uint64_t kPipelines = 2;
-constexpr std::uint64_t kNewest = kPipelines;
+/// Jobs that are not over under a key of their own, so that history need not be read (docs/history.md).
+constexpr std::uint64_t kHistory = 3;
+constexpr std::uint64_t kNewest = kHistory;
 }  // namespace format
 
 class FormatBook {
@@ -26,6 +28,8 @@
     explicit FormatBook(const Settings& settings) : settings_(settings) {}
     /// True if more has become common knowledge by this.
     bool take(const std::string& node, const Value& value);
+    /// Somebody has proven that much before, and rests on it. True if it is news.
+    bool proven(std::uint64_t format);
     /// What every controller that the settings name is proven to read.
     bool common(std::uint64_t format) const { return common_ >= format; }
     std::uint64_t common() const { return common_; }
--- a/src/replica/jobs.cpp
+++ b/src/replica/jobs.cpp
@@ -30,8 +30,21 @@
     return v;
 }
 
-bool JobBook::take(const std::string& ref, const Value& value, Revision mark, Micros now) {
+std::vector<Condition> JobBook::as_known(const std::string& ref, Place place, Revision mark,
+                                         Revision shadow) {
+    std::vector<Condition> when{{record_key(place, ref), mark}};
+    if (place == Place::Active) when.push_back({keys::job + ref, shadow});
+    return when;
+}
+
+bool JobBook::take(const std::string& ref, Place place, const Value& value, Revision mark, Micros now) {
     JobView view = JobView::of(value, mark);
+    if (auto live = live_.find(ref);
+        live != live_.end() && place == Place::Job && live->second.place == Place::Active && !view.final()) {
+        // News of what it was before it was moved may come after the result of that.
+        if (mark > live->second.moved) live->second.shadow = std::max(live->second.shadow, mark);
+        return false;
+    }
     const JobView* old = known(ref);
     // News of our own earlier writes may come after their results: what is older than known is dropped.
     if (old && old->mark > mark) return false;
@@ -40,7 +53,9 @@
     const Value* spec = wire::find(value, "d");
     if (!spec || view.stage == Stage::Done) {
         live_.erase(ref);
+        lost_.erase(ref);
     } else {
+        lost_.erase(ref);
         auto [it, added] = live_.try_emplace(ref);
         LiveJob& job = it->second;
         if (added) {
@@ -61,6 +76,14 @@
         if (!view.final() && pipelines_.standing(ref).orphaned) view = view.as_cancelled();
         job.record = value;
         job.mark = mark;
+        // What stood under c/job/ was dropped by the change that moved it.
+        if (place == Place::Active && job.place == Place::Job) {
+            job.shadow = 0;
+            if (!reading_) job.moved = mark;
+        }
+        job.place = place;
+        // Every change of it rests on there being no final record, so news of one proves that.
+        job.proven = place == Place::Job || !reading_;
         job.domain = wire::text(value, "dom").value_or("");
         if (view.running > 0) image_seen_[{job.image, job.domain}] = now;
         job.tasks = view.tasks;
@@ -86,6 +109,51 @@
     return true;
 }
 
+void JobBook::gone(const std::string& ref) {
+    auto live = live_.find(ref);
+    if (live != live_.end() && live->second.place == Place::Active) lost_.insert(ref);
+}
+
+void JobBook::rereading() {
+    reading_ = true;
+    for (auto& [ref, job] : live_)
+        if (job.place == Place::Active) job.proven = false;
+}
+
+void JobBook::reread(const std::function<bool(const std::string& key)>& seen, bool with_history) {
+    reading_ = false;
+    for (auto& [ref, job] : live_) {
+        if (job.place != Place::Active) continue;
+        if (!seen(keys::active + ref)) lost_.insert(ref);
+        job.proven = job.proven || with_history;
+    }
+}
+
+void JobBook::prove(const std::string& ref, Revision shadow) {
+    auto live = live_.find(ref);
+    if (live == live_.end() || live->second.place != Place::Active) return;
+    live->second.shadow = shadow;
+    live->second.proven = true;
+}
+
+bool JobBook::unproven(const std::string& ref) const {
+    const LiveJob* job = find(ref);
+    return job && (!job->proven || lost_.count(ref) > 0);
+}
+
+std::vector<std::string> JobBook::needed_unproven() const {
+    std::vector<std::string> out;
+    for (const auto& ref : pipelines_.waiting())
+        for (const auto& need : pipelines_.waits_for(ref))
+            if (unproven(need)) out.push_back(need);
+    return out;
+}
+
+std::size_t JobBook::in_old_form() const {
+    return static_cast<std::size_t>(std::count_if(
+        live_.begin(), live_.end(), [](const auto& j) { return j.second.place == Place::Job; }));
+}
+
 const LiveJob* JobBook::find(const std::string& ref) const {
     auto it = live_.find(ref);
     return it == live_.end() ? nullptr : &it->second;
--- a/src/replica/jobs.hpp
+++ b/src/replica/jobs.hpp
@@ -3,11 +3,13 @@
 // poll needs. Holds state and decides nothing but how jobs stand that need one another.
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "replica/pipelines.hpp"
 #include "settings/settings.hpp"
@@ -34,6 +36,14 @@
 struct LiveJob {
     Value record;
     Revision mark = 0;
+    Place place = Place::Job;
+    /// Under c/active/: the mark of what stands under c/job/ besides, 0: nothing. That is a record of old
+    /// form that came late and counts for nothing; it is in the way of the final record, which must name it.
+    Revision shadow = 0;
+    Revision moved = 0;  // the change that brought it under c/active/, if this process has seen that
+    /// Under c/active/: whether it is proven that the job is not over as of what was read. Its final record
+    /// stands elsewhere and is not read with the others; the record under c/active/ may outlast it a while.
+    bool proven = true;
     std::string domain;
     std::string team;
     std::int64_t since_ms = 0;  // when it began to count (see Job)
@@ -53,8 +63,29 @@
   public:
     explicit JobBook(const Settings& settings) : settings_(settings) {}
 
-    /// News of a job's record. False if it is older than what is known.
-    bool take(const std::string& ref, const Value& value, Revision mark, Micros now);
+    /// News of a job's record. False if it is older than what is known, or counts for nothing.
+    bool take(const std::string& ref, Place place, const Value& value, Revision mark, Micros now);
+    /// A record under c/active/ is gone: the job is over, or about to be heard of.
+    void gone(const std::string& ref);
+    /// Everything is about to be read again: final records are not among it.
+    void rereading();
+    /// Everything has been read. `seen`: whether the job's record was there; `with_history`: final records
+    /// were read as well, so that what has not been found to be over goes on.
+    void reread(const std::function<bool(const std::string& key)>& seen, bool with_history);
+
+    /// Live jobs that may be over by what is known; their final records must be looked for.
+    const std::set<std::string>& lost() const { return lost_; }
+    /// As of some moment after the job was last read, nothing stood under c/job/ but what `shadow` says.
+    void prove(const std::string& ref, Revision shadow);
+    /// Whether it may be over without our knowing.
+    bool unproven(const std::string& ref) const;
+    /// Jobs that others need and that are not proven to go on.
+    std::vector<std::string> needed_unproven() const;
+    /// Conditions on which a change of the job's record rests: it is as known, and the job is not over.
+    static std::vector<Condition> as_known(const std::string& ref, Place place, Revision mark,
+                                           Revision shadow);
+    /// Live jobs whose record is of old form.
+    std::size_t in_old_form() const;
     /// News of a further part; null: it is gone. True if the job is live and this is new.
     bool take_part(const std::string& ref, std::size_t part, const Value* value, Revision mark);
 
@@ -84,6 +115,8 @@
   private:
     const Settings& settings_;
     std::map<std::string, LiveJob> live_;
+    std::set<std::string> lost_;
+    bool reading_ = false;
     Pipelines pipelines_;
     std::map<std::pair<std::string, std::string>, Micros> image_seen_;  // image and domain
     std::set<std::string> guaranteed_;
--- a/src/replica/pipelines.cpp
+++ b/src/replica/pipelines.cpp
@@ -121,9 +121,10 @@
     return s;
 }
 
-bool Pipelines::unclear(const std::string& ref) const {
+bool Pipelines::unclear(const std::string& ref,
+                        const std::function<bool(const std::string&)>& doubted) const {
     auto it = nodes_.find(ref);
-    if (it == nodes_.end() || it->second.orphaned || unknown_.empty()) return false;
+    if (it == nodes_.end() || it->second.orphaned) return false;
     // Also through those before it, which wait themselves.
     std::set<std::string> seen;
     std::vector<std::string> next{ref};
@@ -131,7 +132,7 @@
         const std::string name = std::move(next.back());
         next.pop_back();
         if (!seen.insert(name).second) continue;
-        if (unknown_.count(name)) return true;
+        if (unknown_.count(name) || doubted(name)) return true;
         if (auto n = nodes_.find(name); n != nodes_.end())
             next.insert(next.end(), n->second.waits.begin(), n->second.waits.end());
     }
--- a/src/replica/pipelines.hpp
+++ b/src/replica/pipelines.hpp
@@ -45,8 +45,9 @@
 
     /// Jobs that are needed and of which nothing is known here: their records must be read.
     const std::set<std::string>& unknown() const { return unknown_; }
-    /// Whether it is not clear yet if the job is cancelled.
-    bool unclear(const std::string& ref) const;
+    /// Whether it is not clear yet if the job is cancelled: something is not known of one before it, or
+    /// `doubted` says so.
+    bool unclear(const std::string& ref, const std::function<bool(const std::string&)>& doubted) const;
     /// Which cancelled job a job is cancelled with, and what it still waits for.
     std::string cancelled_with(const std::string& ref) const;
     std::vector<std::string> waits_for(const std::string& ref) const;
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -37,10 +37,13 @@
         // Replaced since, so that its pieces are gone: news of that follows.
         return spdlog::info("{}: not all pieces of it are there", key);
     }
-    if (starts_with(key, keys::job)) {
-        const std::string ref = rest(keys::job);
-        if (!value || !jobs.take(ref, *value, mark, host_.now())) return;
-        listener_.on_job(ref, *value, mark);
+    const bool active = starts_with(key, keys::active);
+    if (active || starts_with(key, keys::job)) {
+        const Place place = active ? Place::Active : Place::Job;
+        const std::string ref = rest(active ? keys::active : keys::job);
+        if (!value && active) return jobs.gone(ref);
+        if (!value || !jobs.take(ref, place, *value, mark, host_.now())) return;
+        listener_.on_job(ref, place, *value, mark);
         if (jobs.pipelines().changed()) settle();
     } else if (starts_with(key, keys::part)) {
         const std::string name = rest(keys::part);
@@ -62,6 +65,8 @@
         listener_.on_news();
     } else if (starts_with(key, keys::format)) {
         if (value && formats.take(rest(keys::format), *value)) listener_.on_format();
+    } else if (key == keys::history) {
+        if (value) take_history(*value, mark);
     } else if (key == keys::types) {
         if (!value || !types.take(*value, mark)) return;
         jobs.weigh_again();
@@ -71,6 +76,29 @@
     }
 }
 
+/// Closed at first: from then on no record of old form is admitted, since that rests on this one not being
+/// there. Apart once a look after that has shown that none is left.
+void Replica::take_history(const Value& value, Revision mark) {
+    if (mark <= history_mark_) return;
+    history_mark_ = mark;
+    history_ = wire::flag(value, "apart").value_or(false) ? History::Apart : History::Closed;
+    // Whoever wrote it had proven that all controllers read it.
+    if (formats.proven(format::kHistory)) listener_.on_format();
+}
+
+bool Replica::stray(const std::string& ref) const {
+    const LiveJob* job = jobs.find(ref);
+    return history_apart() && job && job->place == Place::Job;
+}
+
+std::string Replica::go_on_after(const std::string& key) {
+    return history_apart() && starts_with(key, keys::job) ? keys::job + "~" : key;
+}
+
+void Replica::rereading() {
+    jobs.rereading();
+}
+
 void Replica::reread(const std::set<std::string>& seen, Revision ledger) {
     std::vector<std::string> missing;
     for (const auto& name : members.alive())
@@ -82,6 +110,7 @@
             if (const auto key = keys::part + ref + "/" + std::to_string(part); !seen.count(key))
                 missing.push_back(key);
     for (const auto& key : missing) take(key, nullptr, ledger);
+    jobs.reread([&](const std::string& key) { return seen.count(key) > 0; }, !history_apart());
     for (const auto& p : settings_.peers) members.missed(p.name, host_.now());
 }
 
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -21,7 +21,7 @@
     /// Told of changes, after they have been taken in.
     class Listener : public BlockBook::Listener {
       public:
-        virtual void on_job(const std::string& ref, const Value& value, Revision mark) = 0;
+        virtual void on_job(const std::string& ref, Place place, const Value& value, Revision mark) = 0;
         virtual void on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) = 0;
         /// The job stands differently among those that need one another.
         virtual void on_standing(const std::string& ref) = 0;
@@ -33,7 +33,17 @@
     Replica(Host& host, Store& store, const Settings& settings, Listener& listener);
 
     void take(const std::string& key, const Value* value, Revision mark) override;
+    void rereading() override;
+    std::string go_on_after(const std::string& key) override;
     void reread(const std::set<std::string>& seen, Revision ledger) override;
+    /// Whether jobs that are not over stand under c/active/ only, so that nobody reads those under c/job/.
+    bool history_apart() const { return history_ == History::Apart; }
+    /// Whether no record of old form can be added any more.
+    bool history_closed() const { return history_ != History::Open; }
+    Revision history_mark() const { return history_mark_; }
+    /// A job whose only record stands under c/job/ although nobody reads there any more: it came late, from a
+    /// process that has ended, and was accepted by nobody until it has been moved.
+    bool stray(const std::string& ref) const;
     /// Passes on what has changed for jobs that need others, or are needed.
     void settle();
     /// Machine types, as the cloud has just told them.
@@ -53,7 +63,15 @@
     ShareBook shares;
     JobBook jobs;
 
+    /// How far the records of live jobs have been moved out of history: see keys::history.
+    enum class History { Open, Closed, Apart };
+    static Value history_value(History h) { return {{"apart", h == History::Apart}}; }
+
   private:
+    void take_history(const Value& value, Revision mark);
+
+    History history_ = History::Open;
+    Revision history_mark_ = 0;
     Host& host_;
     Store& store_;
     const Settings& settings_;
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -21,6 +21,10 @@
 inline const std::string share = "c/share/";
 inline const std::string block = "c/block/";
 inline const std::string job = "c/job/";
+// Jobs that are not over, once every controller reads format 3; those under c/job/ are over then, and nobody
+// has to read them. Before c/job/ in order, like the record that says so.
+inline const std::string active = "c/active/";
+inline const std::string history = "c/history";
 inline const std::string part = "c/part/";
 inline const std::string format = "c/format/";
 // Before everything else in order, so that a list tells of the pieces before the records that name them.
@@ -30,6 +34,15 @@
 /// What a job's record says of it. Done and cancelled are final.
 enum class Stage : std::uint8_t { Queued, Done, Cancelled };
 
+/// Under which of its two keys a job's record stands. A job has one record at a time that is not over.
+enum class Place : std::uint8_t {
+    Job,     // c/job/REF: every record up to format 2, and final ones for ever
+    Active,  // c/active/REF
+};
+inline std::string record_key(Place place, const std::string& ref) {
+    return (place == Place::Active ? keys::active : keys::job) + ref;
+}
+
 /// Machines of one type, zone and kind that are leased together: one record, one change for all of them.
 struct Block {
     struct Machine {
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -169,24 +169,25 @@
     });
 }
 
-void Store::list(const std::string& prefix, std::function<void(const Entry&)> each,
+void Store::list(const std::string& prefix, GoOn go_on, std::function<void(const Entry&)> each,
                  std::function<void(ListResult)> done) {
-    list_page(prefix, "", std::move(each), std::make_shared<ListResult>(), std::move(done));
+    list_page(prefix, "", std::move(go_on), std::move(each), std::make_shared<ListResult>(), std::move(done));
 }
 
-void Store::list_page(const std::string& prefix, const std::string& since,
+void Store::list_page(const std::string& prefix, const std::string& since, GoOn go_on,
                       std::function<void(const Entry&)> each, std::shared_ptr<ListResult> result,
                       std::function<void(ListResult)> done) {
     Call call;
     call.method = "GET";
     call.path = "/store?starts=" + prefix + (since.empty() ? "" : "&since=" + since) + "&page=1000";
     call.timeout = 4 * kSecond;
-    request(std::move(call), [this, prefix, since, each = std::move(each), result,
+    request(std::move(call), [this, prefix, since, go_on = std::move(go_on), each = std::move(each), result,
                               done = std::move(done)](const Reply& r) mutable {
         const Value* pairs = wire::find(r.body, "pairs");
         auto ledger = wire::count(r.body, "ledger");
         if (r.status != 200 || !pairs || !pairs->is_array() || !ledger) return done(ListResult{});
         if (since.empty()) result->ledger = *ledger;
+        ++result->requests;
         std::string last;
         for (const auto& p : *pairs) {
             auto key = wire::text(p, "k");
@@ -196,8 +197,10 @@
             const Value* data = wire::find(p, "data");
             each(Entry{*key, data ? *data : Value(), *mark});
         }
-        if (wire::flag(r.body, "has_next").value_or(false) && !last.empty())
-            return list_page(prefix, last, std::move(each), result, std::move(done));
+        if (wire::flag(r.body, "has_next").value_or(false) && !last.empty()) {
+            const std::string next = go_on(last);
+            return list_page(prefix, next, std::move(go_on), std::move(each), result, std::move(done));
+        }
         result->ok = true;
         done(std::move(*result));
     });
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -77,6 +77,7 @@
     bool ok = false;
     std::vector<Entry> entries;
     Revision ledger = 0;  // as of the first page
+    std::uint64_t requests = 0;
 };
 
 /// A token bucket on the steady clock.
@@ -103,8 +104,10 @@
     Store(Host& host, const Settings& settings);
 
     void read(const std::string& key, std::function<void(ReadResult)> done);
+    /// Where to go on after the last key of a page: that key, or one beyond what is to be left out.
+    using GoOn = std::function<std::string(const std::string& key)>;
     /// All pages below a prefix; entries are handed over page by page to keep memory bounded.
-    void list(const std::string& prefix, std::function<void(const Entry&)> each,
+    void list(const std::string& prefix, GoOn go_on, std::function<void(const Entry&)> each,
               std::function<void(ListResult)> done);
     void commit(Change change, std::function<void(const CommitResult&)> done);
     void watch(const std::string& prefix, Revision since, Micros block, ReplyHandler done);
@@ -155,7 +158,7 @@
     void later(Queue& queue, bool writes, Micros delay);
     void send(Queue& queue, bool writes, std::vector<Pending> batch);
     void settle(Queue& queue, bool writes, std::vector<Pending> batch, const Reply& reply);
-    void list_page(const std::string& prefix, const std::string& since,
+    void list_page(const std::string& prefix, const std::string& since, GoOn go_on,
                    std::function<void(const Entry&)> each, std::shared_ptr<ListResult> result,
                    std::function<void(ListResult)> done);
 
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -145,12 +145,12 @@
     EXPECT_EQ(stage(other), "cancelled");
     EXPECT_EQ(stage(one), "cancelled");
     // A change of the record that was on its way, by a holder that has not heard of it.
-    auto stored = w->state().handle("GET", "/store/c/job/req-000002", Value(), w->now()).body;
+    auto stored = w->state().handle("GET", "/store/c/active/req-000002", Value(), w->now()).body;
     ASSERT_EQ(stored["data"]["s"], "queued");
     w->state().handle(
         "POST", "/commit",
         Value{{"when", Value::array()},
-              {"then", Value::array({Value{{"write", "c/job/req-000002"}, {"data", stored["data"]}}})}},
+              {"then", Value::array({Value{{"write", "c/active/req-000002"}, {"data", stored["data"]}}})}},
         w->now());
     w->run(300 * kMillisecond);
     EXPECT_EQ(stage(other), "cancelled");
@@ -244,15 +244,16 @@
     EXPECT_EQ(w->told("req-000001"), "done");
     // A pure function of final facts: what the caches have lost is Unknown until it is read.
     Pipelines p;
+    const auto sure = [](const std::string&) { return false; };
     JobSpec s = needing(*w, 10, {"req-000001", "req-000003"});
     p.put(s, 5, [](const std::string&) { return Pipelines::Known{}; });
-    EXPECT_TRUE(p.unclear("req-000010"));
+    EXPECT_TRUE(p.unclear("req-000010", sure));
     EXPECT_FALSE(p.standing("req-000010").open);
     p.over("req-000001", true, 77);
     EXPECT_FALSE(p.standing("req-000010").open);
-    EXPECT_TRUE(p.unclear("req-000010"));
+    EXPECT_TRUE(p.unclear("req-000010", sure));
     p.over("req-000003", true, 99);
-    EXPECT_FALSE(p.unclear("req-000010"));
+    EXPECT_FALSE(p.unclear("req-000010", sure));
     EXPECT_TRUE(p.standing("req-000010").open);
     EXPECT_EQ(p.standing("req-000010").since_ms, 99);
 }
--- a/tests/traces_test.cpp
+++ b/tests/traces_test.cpp
@@ -348,8 +348,9 @@
               {"at", 0}};
     w->run(6 * kSecond);
     ASSERT_EQ(w->told("req-000001"), "done");
-    owner->on_job("req-000001", old, mark);
-    owner->on_job("req-000001", Value{{"s", "done"}, {"dom", owner->domain()}, {"k", 2}}, mark + 1);
+    owner->on_job("req-000001", Place::Active, old, mark);
+    owner->on_job("req-000001", Place::Job, Value{{"s", "done"}, {"dom", owner->domain()}, {"k", 2}},
+                  mark + 1);
     w->run(8 * kSecond);
     EXPECT_EQ(w->starts("req-000001"), 2) << w->story();
     EXPECT_RULES(*w);
