--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -61,7 +61,7 @@
         } else if (replica_.members.alive(d.holder)) {
             orphaned_.erase(name);
         } else {
-            const auto& o = orphaned_.try_emplace(name, Orphaned{now, !replica_.members.ever_alive(d.holder)})
+            const auto& o = orphaned_.try_emplace(name, Orphaned{now, !replica_.members.ever_heard(d.holder)})
                                 .first->second;
             s.orphans.push_back({name, replica_.machines_in(name), o.since, o.before_us});
         }
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -11,7 +11,7 @@
 constexpr Micros kTimeout = 800 * kMillisecond;
 }  // namespace
 
-Peers::Peers(Host& host, const Settings& settings, const Feed& feed, const Replica& replica,
+Peers::Peers(Host& host, const Settings& settings, const Feed& feed, Replica& replica,
              const Holdings& holdings, const Leadership& leadership, const Fleet& fleet)
     : host_(host),
       settings_(settings),
@@ -98,6 +98,7 @@
     for (const auto& d : state.domains) sent_to_.erase(d.domain);
     peers_[*peer].told = Told{state, host_.now()};
     peers_[*peer].heard = host_.listened();
+    replica_.members.heard(state.node);
 }
 
 void Peers::gossip() {
--- a/src/core/peers.hpp
+++ b/src/core/peers.hpp
@@ -21,8 +21,8 @@
         peer::State state;
         Micros at = 0;  // by the steady clock
     };
-    Peers(Host& host, const Settings& settings, const Feed& feed, const Replica& replica,
-          const Holdings& holdings, const Leadership& leadership, const Fleet& fleet);
+    Peers(Host& host, const Settings& settings, const Feed& feed, Replica& replica, const Holdings& holdings,
+          const Leadership& leadership, const Fleet& fleet);
 
     /// Tells the others how things are here, and hears the same of them.
     void gossip();
@@ -54,7 +54,7 @@
     Host& host_;
     const Settings& settings_;
     const Feed& feed_;
-    const Replica& replica_;
+    Replica& replica_;
     const Holdings& holdings_;
     const Leadership& leadership_;
     const Fleet& fleet_;
--- a/src/replica/members.cpp
+++ b/src/replica/members.cpp
@@ -7,7 +7,6 @@
 bool Members::take_live(const std::string& node, bool alive, Micros now) {
     if (alive) {
         if (alive_.insert(node).second) alive_since_[node] = now;
-        ever_alive_.insert(node);
         silent_since_.erase(node);
         return false;
     }
--- a/src/replica/members.hpp
+++ b/src/replica/members.hpp
@@ -36,15 +36,17 @@
     Micros alive_since(const std::string& node) const;
     /// When its end was heard of; nothing while it is alive or was never heard of.
     std::optional<Micros> silent_since(const std::string& node) const;
-    /// Whether it has been alive at any time since this process began to follow the store.
-    bool ever_alive(const std::string& node) const { return ever_alive_.count(node) > 0; }
+    /// A node that this process has heard of itself, by a message or by news of its key. Its key as it was
+    /// first read proves nothing: an outage of the state service may have kept it for long.
+    void heard(const std::string& node) { heard_.insert(node); }
+    bool ever_heard(const std::string& node) const { return heard_.count(node) > 0; }
     const Held& leader() const { return leader_; }
     const std::map<std::string, Held>& domains() const { return domains_; }
     const Held* domain(const std::string& name) const;
 
   private:
     std::set<std::string> alive_;
-    std::set<std::string> ever_alive_;
+    std::set<std::string> heard_;
     std::map<std::string, Micros> alive_since_;
     std::map<std::string, Micros> silent_since_;
     Held leader_;
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -56,7 +56,9 @@
         blocks.take(rest(keys::block), value, mark);
         listener_.on_news();
     } else if (starts_with(key, keys::live)) {
-        members.take_live(rest(keys::live), value != nullptr, host_.now());
+        const std::string node = rest(keys::live);
+        members.take_live(node, value != nullptr, host_.now());
+        if (value && !reading_) members.heard(node);
     } else if (starts_with(key, keys::domain)) {
         const std::string name = rest(keys::domain);
         if (value && members.take_domain(name, *value, mark)) listener_.on_domain(name);
@@ -96,10 +98,12 @@
 }
 
 void Replica::rereading() {
+    reading_ = true;
     jobs.rereading();
 }
 
 void Replica::reread(const std::set<std::string>& seen, Revision ledger) {
+    reading_ = false;
     std::vector<std::string> missing;
     for (const auto& name : members.alive())
         if (!seen.count(keys::live + name) && name != settings_.node) missing.push_back(keys::live + name);
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -72,6 +72,7 @@
 
     History history_ = History::Open;
     Revision history_mark_ = 0;
+    bool reading_ = false;  // everything, from the first record to the last
     Host& host_;
     Store& store_;
     const Settings& settings_;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -95,6 +95,28 @@
     }
 }
 
+TEST(AllWentDown, KeysThatAnOutageHasKeptProveNobodyAlive) {
+    // Found on a day of the fleet: all ended during an outage of the state service, after which every lease
+    // has its full time again. To the first one up the others looked alive, then dead, and it took
+    // everything.
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        auto w = spread(seed);
+        w->state().set_down(true, w->now());
+        w->run(2 * kSecond);
+        for (int i = 0; i < 3; ++i) w->crash(i, 6 * kSecond + i * 600 * kMillisecond);
+        w->run(5 * kSecond);
+        w->state().set_down(false, w->now());  // the others come up just as their old keys go
+        std::size_t most = 0;
+        for (int i = 0; i < 80; ++i) {
+            w->run(100 * kMillisecond);
+            for (int n = 0; n < 3; ++n) most = std::max(most, held_at(*w, n));
+        }
+        EXPECT_EQ(most, 1u) << "seed " << seed << "\n" << w->story();
+        for (int n = 0; n < 3; ++n) EXPECT_TRUE(w->owner_at(n)) << n;
+        EXPECT_RULES(*w);
+    }
+}
+
 TEST(AllWentDown, OneThatStaysDownIsReplacedAndGetsItsDomainBackSoon) {
     auto w = spread(5);
     w->submit(w->job(1, JobKind::Service, 6), 0);
