--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
 constexpr Micros kProven = 5 * kSecond;    // a task that has run for this long can run
 
+using recovery::Verdict;
+
 std::size_t binding_bytes(const Machine& m) {
     return m.name.size() + kBindingBytes;
 }
@@ -163,8 +165,7 @@
 /// Applies a worker's message; `is_report` tells a report from the answer to a /do.
 void Owner::absorb(Machine& m, const Report& r, bool is_report) {
     const Micros now = context_.host().now();
-    if (r.session < m.min_session) return;
-    if (std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return;
+    if (!recovery::is_news({r.session, r.seq}, {m.session, m.seq}, m.min_session)) return;
     const bool was_usable = usable(m);
     if (r.session > m.session) {
         m.taints.clear();  // /do names the session: what was sent to an earlier one is refused
@@ -186,40 +187,37 @@
     if (is_report) std::erase_if(m.answer_launches, [&](const auto& l) { return r.seq > l.second; });
 
     ++m.messages;
+    startup_.heard(m.name, now);
     forget_strays(m);
     m.exited.clear();
     for (const auto& t : r.tasks) {
         Job* job = find_job(t.job);
-        Slot* slot =
-            job && t.task < job->spec.tasks ? &job->slots[static_cast<std::size_t>(t.task)] : nullptr;
-        if (slot && slot->machine == &m && slot->attempt == t.attempt &&
-            (slot->state == SlotState::Bound || slot->state == SlotState::Binding)) {
-            slot->shown = m.messages;
-            slot->seen = true;
-            slot->launch_sent = true;
-            if (slot->phase != Phase::Running && t.phase == Phase::Running) {
-                // What an earlier holder has begun has run for some time, nobody knows for how long.
-                slot->run_since = slot->foreign ? now - job->spec.estimate / 2 : now;
-                spdlog::debug("task {}/{}: runs on {}", t.job, t.task, m.name);
-                remember_image(m, *job, true);
-            }
-            slot->phase = t.phase;
-            if (t.phase == Phase::Running && now - slot->run_since > kProven) proved(*job);
-            if (t.phase != Phase::Exited) continue;
-            m.exited.push_back(t);
-            exited(m, *job, t.task, t.cause);
-            continue;
-        }
-        if (t.phase == Phase::Exited) {
-            // A result that a former holder had not committed yet counts all the same.
-            if (slot && slot->state == SlotState::Idle && t.cause == ExitCause::Done &&
-                job->stage == Stage::Queued && job->spec.kind != JobKind::Service)
+        Slot* slot = job && static_cast<std::size_t>(t.task) < job->slots.size()
+                         ? &job->slots[static_cast<std::size_t>(t.task)]
+                         : nullptr;
+        const bool exited_now = t.phase == Phase::Exited;
+        const auto verdict =
+            recovery::square(stored(job, slot, m, t.attempt), {true, exited_now, t.cause}, {});
+        startup_.squared(verdict, slot && slot->foreign && !slot->seen);
+        if (exited_now) m.exited.push_back(t);
+        switch (verdict) {
+            case Verdict::Runs:
+                show(m, *job, *slot, t.phase);
+                break;
+            case Verdict::Ended:
+                show(m, *job, *slot, t.phase);
+                exited(m, *job, t.task, t.cause);
+                break;
+            case Verdict::Result:
                 mark_done(*job, t.task);
-            m.exited.push_back(t);
-            continue;
+                break;
+            case Verdict::Stray:
+                m.strays.push_back(t);
+                ++stray_tasks_[{t.job, t.task}];
+                break;
+            default:
+                break;
         }
-        m.strays.push_back(t);
-        ++stray_tasks_[{t.job, t.task}];
     }
     std::vector<TaskRef> missing;
     for (const auto& t : m.tasks)
@@ -259,29 +257,77 @@
                       [&](const Machine::Image& i) { return !i.ready && i.name == job.spec.image; });
 }
 
+recovery::Stored Owner::stored(const Job* job, const Slot* slot, const Machine& m,
+                               std::int64_t attempt) const {
+    using State = recovery::Stored::State;
+    recovery::Stored out;
+    if (!job || !slot) return out;
+    const bool here = slot->machine == &m && slot->attempt == attempt;
+    switch (slot->state) {
+        case SlotState::Idle:
+            out.state = State::Waiting;
+            break;
+        case SlotState::Binding:
+            out.state = here ? State::Binding : State::Elsewhere;
+            break;
+        case SlotState::Bound:
+            out.state = here ? State::Bound : State::Elsewhere;
+            break;
+        case SlotState::DonePending:
+        case SlotState::Done:
+            out.state = State::Done;
+            break;
+    }
+    out.wanted = job->stage == Stage::Queued && job->spec.kind != JobKind::Service;
+    out.seen = slot->seen;
+    out.launched = slot->launch_sent;
+    out.foreign = slot->foreign;
+    out.stopping = slot->stop;
+    return out;
+}
+
+/// A message shows a bound task.
+void Owner::show(Machine& m, Job& job, Slot& slot, Phase phase) {
+    const Micros now = context_.host().now();
+    slot.shown = m.messages;
+    slot.seen = true;
+    slot.launch_sent = true;
+    if (slot.phase != Phase::Running && phase == Phase::Running) {
+        // What an earlier holder has begun has run for some time, nobody knows for how long.
+        slot.run_since = slot.foreign ? now - job.spec.estimate / 2 : now;
+        spdlog::debug("task {}/{}: runs on {}", job.spec.ref, &slot - job.slots.data(), m.name);
+        remember_image(m, job, true);
+    }
+    slot.phase = phase;
+    if (phase == Phase::Running && now - slot.run_since > kProven) proved(job);
+}
+
 /// A bound task that a message does not show: gone, not launched yet, or in doubt.
 void Owner::absent(Machine& m, Job& job, int task, const Report& r, bool is_report) {
     Slot& slot = job.slots[static_cast<std::size_t>(task)];
-    if (slot.state != SlotState::Bound) return;
-    if (slot.seen) return gone(job, task, 0);  // the worker has forgotten it: its session was over
     const AttemptKey key{job.spec.ref, task, slot.attempt};
-    if (slot.launch_sent) {
-        const bool other_session = slot.launch_session != UINT64_MAX && r.session > slot.launch_session;
-        const bool outdated = r.token > slot.launch_token;
-        const bool answer_over = slot.launch_by_answer && is_report && r.seq > slot.launch_seq &&
-                                 !m.taints.count(key) && !m.direct_launches.count(key);
-        if (!other_session && !outdated && !answer_over) return;  // in doubt
-        if (slot.foreign) return gone(job, task, 0);
-        slot.launch_sent = false;
-        poke(m);
-    }
-    if (slot.stop && !still_live(m, slot, key)) gone(job, task, 0);
+    recovery::Proof proof;
+    proof.later_session = slot.launch_session != UINT64_MAX && r.session > slot.launch_session;
+    proof.higher_token = r.token > slot.launch_token;
+    proof.answer_over = slot.launch_by_answer && is_report && r.seq > slot.launch_seq &&
+                        !m.taints.count(key) && !m.direct_launches.count(key);
+    proof.may_still_come = may_come(m, key);
+    const auto verdict = recovery::square(stored(&job, &slot, m, slot.attempt), {}, proof);
+    startup_.squared(verdict, slot.foreign);
+    if (verdict == Verdict::Gone) return gone(job, task, 0);
+    if (verdict != Verdict::LaunchAgain) return;
+    slot.launch_sent = false;
+    poke(m);
+}
+
+/// Whether a launch of this attempt that was sent in one way or another is not settled.
+bool Owner::may_come(const Machine& m, const AttemptKey& key) {
+    return m.taints.count(key) || m.direct_launches.count(key) || m.answer_launches.count(key);
 }
 
 /// Whether a launch of this attempt may still be executed.
-bool Owner::still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const {
-    return slot.launch_sent || m.taints.count(key) || m.direct_launches.count(key) ||
-           m.answer_launches.count(key);
+bool Owner::still_live(const Machine& m, const Slot& slot, const AttemptKey& key) {
+    return slot.launch_sent || may_come(m, key);
 }
 
 }  // namespace cottonway
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -187,7 +187,7 @@
                             {"retired", m->retired}});
     return {{"domain", domain_},    {"token", mark_},           {"active", active_},
             {"jobs", jobs_.size()}, {"tasks_waiting", waiting}, {"tasks_bound", running},
-            {"machines", machines}};
+            {"machines", machines}, {"start", startup_.value()}};
 }
 
 }  // namespace cottonway
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -57,8 +57,12 @@
             if (slot.state == SlotState::DonePending) continue;  // durable first
         }
         orders.push_back({OrderKind::Clear, t.job, t.task, t.attempt, 0});
+        startup_.ordered(OrderKind::Clear, false);
+    }
+    for (const auto& t : m.strays) {
+        orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
+        startup_.ordered(OrderKind::Stop, false);
     }
-    for (const auto& t : m.strays) orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
     for (const auto& [job, task] : m.tasks) {
         Slot& slot = job->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound || (slot.seen && !slot.stop)) continue;
@@ -67,6 +71,7 @@
             if (!slot.launch_sent && !slot.seen) continue;  // never sent: given up in tick()
             if (slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every) continue;
             if (slot.phase == Phase::Saving && slot.grace > 0) continue;
+            startup_.ordered(OrderKind::Stop, slot.stop_sent != 0);
             slot.stop_sent = now;
             orders.push_back({OrderKind::Stop, key.job, task, slot.attempt, slot.grace});
             continue;
@@ -80,6 +85,7 @@
         // The answer to a report is the second way; it is taken when the direct one does not work.
         if (!direct && ((m.direct_backoff == 0 && !m.out_of_reach()) || m.answer_launches.count(key)))
             continue;
+        startup_.ordered(OrderKind::Launch, slot.launch_sent);
         slot.launch_by_answer = !direct && !m.taints.count(key);
         slot.launch_sent = true;
         slot.launch_token = token(m);
@@ -107,9 +113,33 @@
     context_.wake();
 }
 
+/// What goes first when more machines are to be called than may be at a time: tasks of cancelled jobs, whose
+/// time runs out; services; what has a deadline; what else is to be launched; the rest, such as showing a
+/// token.
+int Owner::urgency(const Machine& m) const {
+    int best = 4;
+    for (const auto& [job, task] : m.tasks) {
+        const Slot& slot = job->slots[static_cast<std::size_t>(task)];
+        if (slot.state != SlotState::Bound || (slot.seen && !slot.stop)) continue;
+        if (job->stage == Stage::Cancelled) return 0;
+        best = std::min(best, job->rank == Rank::Production ? 1 : job->due_ms != INT64_MAX ? 2 : 3);
+    }
+    return best;
+}
+
 void Owner::send_orders() {
     if (due_.empty()) return;
     const int most = static_cast<int>(context_.settings().sockets / 16);
+    if (static_cast<int>(due_.size()) > most - direct_calls_) {
+        std::vector<std::pair<int, std::string>> order;
+        for (auto& name : due_)
+            if (auto m = machines_.find(name); m != machines_.end())
+                order.emplace_back(urgency(*m->second), std::move(name));
+        std::stable_sort(order.begin(), order.end(),
+                         [](const auto& a, const auto& b) { return a.first < b.first; });
+        due_.clear();
+        for (auto& [urgent, name] : order) due_.push_back(std::move(name));
+    }
     std::vector<std::string> later;
     for (const auto& name : std::exchange(due_, {})) {
         auto it = machines_.find(name);
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -22,6 +22,7 @@
       domain_(std::move(domain)),
       mark_(mark),
       former_end_(former_authority_end),
+      taken_at_(context.host().now()),
       idle_starts_(kIdleStarts * context.settings().cpu_share, kIdleStarts * context.settings().cpu_share) {}
 
 Owner::~Owner() {
@@ -147,6 +148,10 @@
     active_ = true;
     for (auto& [ref, job] : jobs_)
         if (job->spec.kind == JobKind::Gang && job->idle > 0 && job->bound > 0) settle_gang(*job);
+    std::size_t bound = 0;
+    for (const auto& [name, m] : machines_) bound += m->tasks.size();
+    const Micros now = context_.host().now();
+    startup_.began(now, now - taken_at_, jobs_.size(), machines_.size(), bound);
     spdlog::info("domain {}: active with {} jobs and {} machines, token {}", domain_, jobs_.size(),
                  machines_.size(), mark_);
 }
@@ -183,6 +188,8 @@
         if (m.notice && now <= m.notice_end) drain_noticed(m);
     }
     flush_due_ = true;
+    if (const std::string line = startup_.line(now); !line.empty())
+        spdlog::info("domain {}: {}", domain_, line);
     if (active_) {
         drop_left_over();
         move_out_of_history();
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -14,6 +14,8 @@
 #include "core/host.hpp"
 #include "core/placement.hpp"
 #include "peer/messages.hpp"
+#include "recovery/squaring.hpp"
+#include "recovery/startup.hpp"
 #include "replica/pipelines.hpp"
 #include "settings/settings.hpp"
 #include "state/records.hpp"
@@ -327,7 +329,11 @@
     static void remember_image(Machine& m, const Job& job, bool ready);
     static void forget_fetch(Machine& m, const Job& job);
     void void_machine(Machine& m, const char* why);
-    bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key) const;
+    static bool still_live(const Machine& m, const Slot& slot, const AttemptKey& key);
+    static bool may_come(const Machine& m, const AttemptKey& key);
+    recovery::Stored stored(const Job* job, const Slot* slot, const Machine& m, std::int64_t attempt) const;
+    void show(Machine& m, Job& job, Slot& slot, Phase phase);
+    int urgency(const Machine& m) const;
 
     void bind(Job& job, int task, Machine& m, std::int64_t attempt);
     /// A job as it begins here; `gate_ms`: when its gate opened, if its record tells.
@@ -407,7 +413,9 @@
     std::string domain_;
     Revision mark_;
     Micros former_end_;
+    Micros taken_at_;
     bool active_ = false;
+    recovery::Startup startup_;
     std::map<std::string, std::unique_ptr<Machine>> machines_;
     std::map<std::string, std::unique_ptr<Job>> jobs_;
     std::uint64_t next_serial_ = 1;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -324,6 +324,7 @@
         }
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
         bind(job, static_cast<int>(i), m, attempt);
+        startup_.bound(now);
         job.next_attempt = attempt + 1;
         touch(job, i / job.part_tasks);
         ++per_zone[m.zone];
@@ -386,6 +387,7 @@
         const std::int64_t attempt = job.next_attempt++;
         for (const auto& [task, m] : chosen) {
             bind(job, task, *m, attempt);
+            startup_.bound(now);
             touch(job, static_cast<std::size_t>(task) / job.part_tasks);
         }
         spdlog::info("gang {}: attempt {} bound, {} tasks", job.spec.ref, attempt, chosen.size());
--- /dev/null
+++ b/src/recovery/startup.cpp
@@ -0,0 +1,83 @@
+#include "recovery/startup.hpp"
+
+#include <fmt/format.h>
+
+namespace cottonway::recovery {
+
+namespace {
+constexpr Micros kSumUpAfter = 10 * kSecond;
+
+std::string after(Micros t) {
+    return t < 0 ? "not yet" : fmt::format("after {} ms", t / kMillisecond);
+}
+}  // namespace
+
+void Startup::began(Micros now, Micros taken, std::size_t jobs, std::size_t machines, std::size_t bound) {
+    began_ = now;
+    taken_ = taken;
+    jobs_ = jobs;
+    machines_ = machines;
+    inherited_ = bound;
+}
+
+void Startup::heard(const std::string& machine, Micros now) {
+    if (!open() || all_heard_after_ >= 0) return;
+    heard_.insert(machine);
+    if (heard_.size() >= machines_) all_heard_after_ = now - began_;
+}
+
+void Startup::squared(Verdict v, bool foreign) {
+    if (!open()) return;
+    runs_ += v == Verdict::Runs && foreign;
+    ended_ += v == Verdict::Ended && foreign;
+    gone_ += v == Verdict::Gone && foreign;
+    results_ += v == Verdict::Result;
+    strays_ += v == Verdict::Stray;
+}
+
+void Startup::ordered(OrderKind kind, bool again) {
+    if (!open()) return;
+    ++orders_[static_cast<std::size_t>(kind)];
+    again_ += again;
+}
+
+void Startup::bound(Micros now) {
+    if (began_ > 0 && first_bind_after_ < 0) first_bind_after_ = now - began_;
+}
+
+std::string Startup::line(Micros now) {
+    if (!open() || (now - began_ < kSumUpAfter && all_heard_after_ < 0)) return "";
+    // Orders for what has just been squared are still to come.
+    if (all_heard_after_ >= 0 && now - began_ < all_heard_after_ + kSecond) return "";
+    told_ = true;
+    return fmt::format(
+        "started: active {} ms after it was taken with {} jobs and {} tasks on machines; heard {} of {} "
+        "machines, "
+        "all {}; {} tasks run on, {} ended meanwhile, {} are gone, {} results and {} strays found; orders: "
+        "{} "
+        "launches, {} stops, {} clears, {} of them once more; first bind {}",
+        taken_ / kMillisecond, jobs_, inherited_, heard_.size(), machines_, after(all_heard_after_), runs_,
+        ended_, gone_, results_, strays_, orders_[0], orders_[1], orders_[2], again_,
+        after(first_bind_after_));
+}
+
+Value Startup::value() const {
+    return {{"active_ms", taken_ / kMillisecond},
+            {"jobs", jobs_},
+            {"tasks", inherited_},
+            {"machines", machines_},
+            {"machines_heard", heard_.size()},
+            {"all_heard_ms", all_heard_after_ < 0 ? Value() : Value(all_heard_after_ / kMillisecond)},
+            {"first_bind_ms", first_bind_after_ < 0 ? Value() : Value(first_bind_after_ / kMillisecond)},
+            {"run_on", runs_},
+            {"ended", ended_},
+            {"gone", gone_},
+            {"results", results_},
+            {"strays", strays_},
+            {"launches", orders_[0]},
+            {"stops", orders_[1]},
+            {"clears", orders_[2]},
+            {"orders_again", again_}};
+}
+
+}  // namespace cottonway::recovery
--- /dev/null
+++ b/src/recovery/startup.hpp
@@ -0,0 +1,43 @@
+#pragma once
+// What it took a domain to start: read, heard, squared, ordered, and when. One line in the log once all of
+// its machines are heard or ten seconds have passed, and in `status` for as long as the domain is held.
+
+#include <array>
+#include <cstddef>
+#include <set>
+#include <string>
+
+#include "recovery/squaring.hpp"
+#include "wire/wire.hpp"
+
+namespace cottonway::recovery {
+
+class Startup {
+  public:
+    /// The domain is active, `taken` microseconds after it was acquired.
+    void began(Micros now, Micros taken, std::size_t jobs, std::size_t machines, std::size_t bound);
+    void heard(const std::string& machine, Micros now);
+    void squared(Verdict v, bool foreign);
+    /// `again`: the same had been sent before.
+    void ordered(OrderKind kind, bool again);
+    void bound(Micros now);
+    /// The line for the log, once, when it is due.
+    std::string line(Micros now);
+    Value value() const;
+
+  private:
+    bool open() const { return began_ > 0 && !told_; }
+
+    Micros began_ = 0;
+    Micros taken_ = 0;
+    std::size_t jobs_ = 0, machines_ = 0, inherited_ = 0;
+    std::set<std::string> heard_;
+    Micros all_heard_after_ = -1;  // -1: not yet
+    Micros first_bind_after_ = -1;
+    std::size_t runs_ = 0, ended_ = 0, results_ = 0, gone_ = 0, strays_ = 0;
+    std::array<std::size_t, 3> orders_{};  // by kind
+    std::size_t again_ = 0;
+    bool told_ = false;
+};
+
+}  // namespace cottonway::recovery
--- a/src/replica/feed.cpp
+++ b/src/replica/feed.cpp
@@ -55,6 +55,8 @@
                 return;
             }
             load_ = {r.requests, seen->size(), host_.now() - began};
+            spdlog::info("read {} records of the store in {} requests, {} ms", load_.records, load_.requests,
+                         load_.took / kMillisecond);
             reader_.reread(*seen, r.ledger);
             ledger_ = r.ledger;
             loaded_ = true;
