--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -6,30 +6,72 @@
 
 namespace cottonway::cli {
 
-int request(const Endpoint& to, const std::string& method, const std::string& path, const Value& body) {
+namespace {
+
+void print(const Value& value) {
+    std::cout << value.dump(2, ' ', false, Value::error_handler_t::replace) << "\n";
+}
+
+/// Tells what went wrong; true if something did.
+bool complain(const Endpoint& to, const std::string& what, const Answer& a) {
+    if (a.status > 0 && a.status < 300) return false;
+    std::cerr << "cottonway: " << what << ": ";
+    if (a.status == 0)
+        std::cerr << "no answer from " << to.host << ":" << to.port << "\n";
+    else
+        std::cerr << "answered " << a.status << (a.status == 503 ? ", to be asked again later" : "") << "\n";
+    return true;
+}
+
+}  // namespace
+
+Answer ask(const Endpoint& to, const std::string& method, const std::string& path, const Value& body) {
     asio::io_context io(1);
     net::HttpClient client(io, 1, 1);
-    int code = 1;
+    Answer answer;
     client.call(to, method, path, body.is_null() ? std::string() : wire::encode(body), 5 * kSecond,
                 [&](const net::ClientReply& r) {
-                    if (r.status == 0) {
-                        std::cerr << "no answer from " << to.host << ":" << to.port << "\n";
-                        return;
-                    }
-                    auto value = r.body.empty() ? Value() : wire::decode(r.body).value_or(Value());
-                    std::cout << r.status << " " << value.dump(2, ' ', false, Value::error_handler_t::replace)
-                              << "\n";
-                    code = r.status < 300 ? 0 : 1;
+                    answer.status = r.status;
+                    if (!r.body.empty()) answer.body = wire::decode(r.body).value_or(Value());
                 });
     io.run();
-    return code;
+    return answer;
+}
+
+int request(const Endpoint& to, const std::string& method, const std::string& path, const Value& body) {
+    const Answer a = ask(to, method, path, body);
+    if (a.status != 0) print(a.body);
+    return complain(to, path, a) ? 1 : 0;
 }
 
 int submit(const Endpoint& to, const Value& jobs) {
     if (!jobs.is_array()) return request(to, "POST", "/v1/jobs", jobs);
-    for (const auto& job : jobs)
-        if (const int code = request(to, "POST", "/v1/jobs", job); code != 0) return code;
-    return 0;
+    Value answers = Value::array();
+    int code = 0;
+    for (const auto& job : jobs) {
+        const Answer a = ask(to, "POST", "/v1/jobs", job);
+        if (a.status != 0) answers.push_back(a.body);
+        if (!complain(to, wire::ref_of(job).value_or("a job without an id"), a)) continue;
+        code = 1;
+        break;
+    }
+    print(answers);
+    return code;
+}
+
+int show(const Endpoint& to, const std::vector<std::string>& refs) {
+    Value answers = Value::array();
+    int code = 0;
+    for (const auto& ref : refs) {
+        const Answer a = ask(to, "GET", "/v1/jobs/" + ref, Value());
+        if (complain(to, ref, a)) code = 1;
+        if (a.status == 200) answers.push_back(a.body);
+    }
+    if (refs.size() > 1)
+        print(answers);
+    else if (!answers.empty())
+        print(answers[0]);
+    return code;
 }
 
 }  // namespace cottonway::cli
--- a/src/cli/client.hpp
+++ b/src/cli/client.hpp
@@ -1,16 +1,29 @@
 #pragma once
-// What operators ask of a running controller from the command line.
+// What operators ask of a running controller from the command line. Standard output holds JSON and nothing
+// else; what went wrong is told on standard error, and by the exit code.
 
 #include <string>
+#include <vector>
 
 #include "settings/settings.hpp"
 #include "wire/wire.hpp"
 
 namespace cottonway::cli {
 
-/// Sends one request and prints the answer as JSON. Returns the process's exit code.
+/// The answer to one request; status 0: none.
+struct Answer {
+    int status = 0;
+    Value body;
+};
+Answer ask(const Endpoint& to, const std::string& method, const std::string& path, const Value& body);
+
+/// Sends one request and prints the answer's body. Returns the process's exit code: 0 for an answer below 300,
+/// 1 for any other, or none.
 int request(const Endpoint& to, const std::string& method, const std::string& path, const Value& body);
-/// Submits a job, or the jobs of a list one after another, each as soon as those before it are accepted.
+/// Submits a job, or the jobs of a list one after another, each as soon as those before it are accepted;
+/// prints the answer, or a list of them.
 int submit(const Endpoint& to, const Value& jobs);
+/// Prints a job, or a list of them.
+int show(const Endpoint& to, const std::vector<std::string>& refs);
 
 }  // namespace cottonway::cli
--- /dev/null
+++ b/src/cli/verify.cpp
@@ -0,0 +1,58 @@
+#include "cli/verify.hpp"
+
+#include <iostream>
+
+#include "net/service.hpp"
+#include "recovery/verify.hpp"
+
+namespace cottonway::cli {
+
+namespace {
+
+void print(const std::vector<recovery::Finding>& findings, const Value& summary, bool json) {
+    auto weight = [](const recovery::Finding& f) {
+        return f.weight == recovery::Finding::Weight::Damage ? "damage" : "notice";
+    };
+    if (json) {
+        Value list = Value::array();
+        for (const auto& f : findings)
+            list.push_back({{"weight", weight(f)}, {"key", f.key}, {"what", f.what}});
+        std::cout << Value{{"findings", std::move(list)}, {"read", summary}}.dump(2) << "\n";
+        return;
+    }
+    for (const auto& f : findings) std::cout << weight(f) << ": " << f.key << " " << f.what << "\n";
+    for (const auto& [kind, n] : summary.items()) std::cerr << kind << ": " << n.dump() << "\n";
+}
+
+}  // namespace
+
+int verify(Settings settings, bool json) {
+    // Controllers that serve meanwhile need the rest.
+    settings.state_rps *= 0.1;
+    settings.peers.clear();
+    asio::io_context io(1);
+    net::AsioHost host(io, settings);
+    Store store(host, settings);
+    recovery::Verifier verifier(settings);
+    int code = 2;
+    store.list(
+        keys::root, [](const std::string& key) { return key; },
+        [&](const Entry& e) { verifier.take(e.key, e.value, e.mark); },
+        [&](const ListResult& r) {
+            io.stop();
+            if (!r.ok) {
+                std::cerr << "cottonway: the state service at " << settings.state.host << ":"
+                          << settings.state.port << " can't be read\n";
+                return;
+            }
+            const auto findings = verifier.finish();
+            print(findings, verifier.summary(), json);
+            const bool damaged =
+                !findings.empty() && findings.front().weight == recovery::Finding::Weight::Damage;
+            code = damaged ? 1 : 0;
+        });
+    io.run();
+    return code;
+}
+
+}  // namespace cottonway::cli
--- /dev/null
+++ b/src/recovery/verify.hpp
@@ -0,0 +1,72 @@
+#pragma once
+// Checks what stands in the state service: every record by itself, and all of them against one another. Takes
+// the records in the order of their keys, one by one, and keeps of those that are over no more than a count,
+// so that a store with millions of finished jobs is read in little memory. Changes nothing.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "settings/settings.hpp"
+#include "state/records.hpp"
+
+namespace cottonway::recovery {
+
+struct Finding {
+    /// Damage: something is lost or in the way, and an operator has to look. Notice: the service sees to it,
+    /// or it does no harm.
+    enum class Weight { Notice, Damage };
+    Weight weight = Weight::Damage;
+    std::string key;
+    std::string what;
+};
+
+class Verifier {
+  public:
+    explicit Verifier(const Settings& settings) : settings_(settings) {}
+
+    void take(const std::string& key, const Value& value, Revision mark);
+    /// After the last record: what only all of them together tell. Damage first.
+    std::vector<Finding> finish();
+    /// Records by kind, and how many jobs are in which state.
+    Value summary() const;
+
+  private:
+    struct KnownJob {
+        std::string key;
+        std::string domain;
+        int tasks = 0;
+        std::size_t part_tasks = 64;
+        std::uint64_t next_attempt = 1;
+        bool cancelled = false;
+        std::map<std::size_t, std::string> bound;  // task -> machine
+    };
+    void damage(const std::string& key, std::string what);
+    void notice(const std::string& key, std::string what);
+    void take_job(const std::string& key, const std::string& ref, Place place, const Value& value);
+    void take_part(const std::string& key, const Value& value);
+    void take_bindings(KnownJob& job, const std::string& key, const Value& value, std::size_t first);
+    void take_block(const std::string& key, const Value& value, Revision mark);
+    void take_piece(const std::string& key, const Value& value);
+    std::optional<Value> whole(const std::string& key, const Value& value);
+
+    const Settings& settings_;
+    std::vector<Finding> findings_;
+    std::map<std::string, std::size_t> kinds_;
+    std::size_t done_ = 0, cancelled_ = 0;
+    std::map<std::string, KnownJob> jobs_;                                 // that are not over
+    std::map<std::string, std::pair<std::string, std::string>> machines_;  // block and domain
+    std::map<std::string, std::string> domains_;                           // holder
+    std::map<std::string, std::string> domain_of_block_;
+    Shares sums_;
+    std::set<std::string> shared_;  // domains that have a share
+    std::map<std::string, std::map<std::size_t, std::string>> pieces_;
+    std::map<std::string, std::string> piece_of_;
+    std::set<std::string> named_pieces_;
+    bool apart_ = false;
+    std::map<std::string, std::uint64_t> reads_;
+};
+
+}  // namespace cottonway::recovery
--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what the build and the tests need, checks the format of the sources, builds, and passes all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+packages=$(sed -n 's/^packages = \[\(.*\)\]/\1/p' deploy/service.toml | tr -d '",')
+apt-get update -qq
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $packages \
+    libgtest-dev librapidcheck-dev clang-format >/dev/null
+find src tools tests -name '*.?pp' -print0 | xargs -0 clang-format --dry-run -Werror
+sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)"
+cmake -S . -B target/tests -DCMAKE_BUILD_TYPE=Debug -DCOTTONWAY_TESTS=ON -DCOTTONWAY_SANITIZE=address,undefined
+cmake --build target/tests -j8
+ctest --test-dir target/tests --output-on-failure -j8
--- a/tools/cottonway.cpp
+++ b/tools/cottonway.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "cli/client.hpp"
+#include "cli/verify.hpp"
 #include "log/log.hpp"
 #include "net/service.hpp"
 #include "settings/settings.hpp"
@@ -33,6 +34,11 @@
     auto* cancel = client("cancel", "cancel a job");
     cancel->add_option("ref", ref, "the job's id")->required();
     auto* status = client("status", "status and metrics of a controller (its cluster address)");
+    bool json = false;
+    auto* verify = app.add_subcommand(
+        "verify", "read the state service and report what is damaged; exit code 0: nothing, 1: something");
+    verify->add_option("--config", config, "the platform's settings file (TOML)")->required();
+    verify->add_flag("--json", json, "print the findings as JSON");
     app.require_subcommand(0, 1);
     CLI11_PARSE(app, argc, argv);
 
@@ -41,15 +47,14 @@
             std::ifstream in(file);
             return cli::submit(parse_endpoint(node), Value::parse(in));
         }
-        if (show->parsed()) {
-            int code = 0;
-            for (const auto& r : refs)
-                code = std::max(code, cli::request(parse_endpoint(node), "GET", "/v1/jobs/" + r, {}));
-            return code;
-        }
+        if (show->parsed()) return cli::show(parse_endpoint(node), refs);
         if (cancel->parsed())
             return cli::request(parse_endpoint(node), "POST", "/v1/jobs/" + ref + "/abort", Value::object());
         if (status->parsed()) return cli::request(parse_endpoint(node), "GET", "/status", {});
+        if (verify->parsed()) {
+            start_logging("verify", "error");
+            return cli::verify(load_settings(config, ""), json);
+        }
         if (config.empty()) {
             std::cerr << app.help();
             return 2;
