--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,483 @@
+#include "lab/experiment.hpp"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <cmath>
+#include <set>
+
+#include "log/log.hpp"
+
+namespace cottonway::lab {
+
+namespace {
+
+[[noreturn]] void fail(const std::string& key, const std::string& why) {
+    throw std::runtime_error(key + ": " + why);
+}
+
+/// A table whose keys are all asked for: what is left over is a mistake.
+class Table {
+  public:
+    Table(const toml::table& table, std::string path) : table_(table), path_(std::move(path)) {}
+    ~Table() noexcept(false) {
+        if (std::uncaught_exceptions() > 0) return;
+        for (const auto& [key, value] : table_)
+            if (!asked_.count(std::string(key.str()))) fail(path_ + std::string(key.str()), "unknown key");
+    }
+    double number(const char* key, double fallback, double low, double high) {
+        asked_.insert(key);
+        const auto* node = table_.get(key);
+        if (!node) return fallback;
+        const auto v = node->value<double>();
+        if (!v) fail(path_ + key, "must be a number");
+        if (*v < low || *v > high) fail(path_ + key, fmt::format("must be from {} to {}", low, high));
+        return *v;
+    }
+    int count(const char* key, int fallback, int high = 10'000'000) {
+        return static_cast<int>(number(key, fallback, 0, high));
+    }
+    Micros seconds(const char* key, double fallback) {
+        return static_cast<Micros>(std::llround(number(key, fallback, 0, 1e6) * 1e6));
+    }
+    Milli milli(const char* key, double fallback) {
+        return static_cast<Milli>(std::llround(number(key, fallback, 0, 1e9) * 1000));
+    }
+    std::string text(const char* key, const std::string& fallback) {
+        asked_.insert(key);
+        const auto* node = table_.get(key);
+        if (!node) return fallback;
+        const auto v = node->value<std::string>();
+        if (!v) fail(path_ + key, "must be text");
+        return *v;
+    }
+    bool flag(const char* key) {
+        asked_.insert(key);
+        const auto* node = table_.get(key);
+        return node && node->value<bool>().value_or(false);
+    }
+    std::vector<std::string> texts(const char* key, std::vector<std::string> fallback) {
+        asked_.insert(key);
+        const auto* list = table_.get_as<toml::array>(key);
+        if (!list) return fallback;
+        std::vector<std::string> out;
+        for (const auto& v : *list) out.push_back(v.value<std::string>().value_or(""));
+        return out;
+    }
+    template <class F>
+    void table(const char* key, F use) {
+        asked_.insert(key);
+        if (const auto* t = table_.get_as<toml::table>(key)) {
+            Table sub(*t, path_ + key + ".");
+            use(sub);
+        }
+    }
+    template <class F>
+    void rows(const char* key, F use) {
+        asked_.insert(key);
+        const auto* list = table_.get_as<toml::array>(key);
+        if (!list) return;
+        std::size_t i = 0;
+        for (const auto& node : *list) {
+            const std::string at = path_ + key + "[" + std::to_string(i++) + "].";
+            if (!node.is_table()) fail(at, "must be a table");
+            Table row(*node.as_table(), at);
+            use(row);
+        }
+    }
+
+  private:
+    const toml::table& table_;
+    std::string path_;
+    std::set<std::string> asked_;
+};
+
+template <class T>
+T one_of(const std::string& key, const std::string& word, const std::map<std::string, T>& words) {
+    auto it = words.find(word);
+    if (it != words.end()) return it->second;
+    std::string all;
+    for (const auto& [name, v] : words) all += (all.empty() ? "" : ", ") + name;
+    fail(key, "must be one of " + all + ", not " + word);
+}
+
+void load_settings(Table& t, Settings& s) {
+    s.zones = t.texts("zones", {"a", "b"});
+    s.cpu_share = t.number("cpu_share", 1, 0.001, 1000);
+    t.table("state", [&](Table& x) {
+        s.state_rps = x.number("rps", 500, 1, 1e6);
+        s.state_write_rps = s.next_write_rps = x.number("write_rps", 200, 1, 1e6);
+        s.value_bytes = s.value_bytes_now = static_cast<std::size_t>(x.number("value_kb", 16, 1, 64) * 1024);
+        s.txn_ops = static_cast<std::size_t>(x.count("txn_ops", 16, 1000));
+    });
+    t.table("workers", [&](Table& x) {
+        s.report_every = x.seconds("report_s", 5);
+        s.lease = x.seconds("lease_s", 26.5);
+        s.gang_wait = x.seconds("gang_wait_s", 45);
+        s.gang_peer = x.seconds("gang_peer_s", 6);
+        s.cancel = x.seconds("cancel_s", 56.5);
+    });
+    s.teams.clear();
+    t.rows("team", [&](Table& x) {
+        auto limit = [](Milli m) { return m > 0 ? m : kNoLimit; };
+        s.teams.push_back({x.text("name", "red"),
+                           {x.milli("cores", 0), 0, 0},
+                           {limit(x.milli("cores_max", 0)), kNoLimit, 0}});
+    });
+}
+
+void load_load(Table& x, Experiment& e) {
+    Load l;
+    JobSpec& j = l.job;
+    j.job_class = x.text("class", "class");
+    j.team = x.text("team", e.settings.teams.front().name);
+    j.kind =
+        one_of<JobKind>("load.kind", x.text("kind", "array"),
+                        {{"array", JobKind::Array}, {"gang", JobKind::Gang}, {"service", JobKind::Service}});
+    j.rank = one_of<Rank>("load.rank", x.text("rank", "normal"),
+                          {{"production", Rank::Production},
+                           {"high", Rank::High},
+                           {"normal", Rank::Normal},
+                           {"low", Rank::Low}});
+    j.need = {x.milli("cores", 1), 0, x.milli("ram_gb", 2)};
+    j.spot = x.flag("spot");
+    j.spread = x.flag("spread");
+    j.one_zone = x.flag("one_zone");
+    j.image_gb = x.milli("image_gb", 0.5);
+    l.run = x.seconds("run_s", 20);
+    j.estimate = j.kind == JobKind::Service ? 0 : l.run;
+    l.fetch = x.seconds("fetch_s", 0.5);
+    if (const Micros due = x.seconds("deadline_s", 0); due > 0) j.deadline = due;
+    l.per_minute = x.number("per_minute", 0, 0, 1e6);
+    l.initial = x.count("initial", 0);
+    l.tasks_low = std::max(x.count("tasks", 1, 100'000), 1);
+    l.tasks_high = std::max(x.count("tasks_max", l.tasks_low, 100'000), l.tasks_low);
+    if (const Micros goal = x.seconds("start_within_s", 0); goal > 0)
+        e.settings.objectives.push_back({"wait", j.job_class, goal});
+    e.loads.push_back(std::move(l));
+}
+
+const std::set<std::string> kKinds{"end",    "end_all", "state_down", "cut_state", "cut_workers",
+                                   "freeze", "hang",    "kill",       "refuse"};
+
+}  // namespace
+
+Experiment Experiment::load(const std::string& path) {
+    toml::table file;
+    try {
+        file = toml::parse_file(path);
+    } catch (const toml::parse_error& err) {
+        throw std::runtime_error(path + ": " + std::string(err.description()));
+    }
+    Experiment e;
+    Table t(file, "");
+    e.name = t.text("name", path);
+    e.seed = static_cast<std::uint64_t>(t.count("seed", 1));
+    e.seeds = t.count("seeds", 1, 100'000);
+    e.duration = t.seconds("duration_s", 60);
+    e.controllers = t.count("controllers", 3, 9);
+    e.history = t.count("history", 0);
+    if (e.controllers < 1) fail("controllers", "must be at least 1");
+    load_settings(t, e.settings);
+    if (e.settings.teams.empty()) fail("team", "at least one is needed");
+    t.rows("type", [&](Table& x) {
+        MachineType m;
+        m.name = x.text("name", "small");
+        m.size = {x.milli("cores", 8), 0, x.milli("ram_gb", 32)};
+        m.cache_gb = 50'000;
+        m.fetch_gb_per_s = 1;
+        m.price = x.number("price", 1, 0, 1e6);
+        m.spot_price = m.price / 3;
+        m.boot = 20 * kSecond;
+        m.zones = e.settings.zones;
+        e.types.push_back(m);
+    });
+    if (e.types.empty()) fail("type", "at least one is needed");
+    t.rows("machines", [&](Table& x) {
+        Machines m{x.text("type", e.types.front().name), x.text("zone", e.settings.zones.front()),
+                   x.flag("spot"), x.count("count", 1, 20'000)};
+        if (std::none_of(e.types.begin(), e.types.end(), [&](const auto& k) { return k.name == m.type; }))
+            fail("machines.type", "no such type: " + m.type);
+        e.machines.push_back(m);
+    });
+    t.rows("load", [&](Table& x) { load_load(x, e); });
+    t.rows("fault", [&](Table& x) {
+        Fault f;
+        f.at = x.seconds("at_s", 0);
+        f.kind = x.text("kind", "");
+        if (!kKinds.count(f.kind)) fail("fault.kind", "unknown: \"" + f.kind + "\"");
+        f.span = x.seconds("for_s", 3);
+        f.apart = x.seconds("apart_s", 0);
+        f.node = static_cast<int>(x.number("node", -1, -1, e.controllers - 1));
+        f.count = x.count("count", 1, 20'000);
+        e.faults.push_back(f);
+    });
+    return e;
+}
+
+// ---------------------------------------------------------------- figures
+
+void Times::add(Micros t) {
+    bins_(static_cast<double>(std::max<Micros>(t, kMillisecond)));
+    ++count_;
+    worst_ = std::max(worst_, t);
+}
+
+Micros Times::at(double share) const {
+    double left = share * static_cast<double>(count_);
+    for (auto&& bin : boost::histogram::indexed(bins_, boost::histogram::coverage::all)) {
+        left -= *bin;
+        if (left <= 0 && count_ > 0) return std::min(static_cast<Micros>(bin.bin().upper()), worst_);
+    }
+    return 0;
+}
+
+void Times::merge(const Times& other) {
+    bins_ += other.bins_;
+    count_ += other.count_;
+    worst_ = std::max(worst_, other.worst_);
+}
+
+namespace {
+Value times_value(const Times& t) {
+    auto ms = [](Micros x) { return static_cast<double>(x) / 1e3; };
+    return {{"count", t.count()},
+            {"p50_ms", ms(t.at(0.5))},
+            {"p95_ms", ms(t.at(0.95))},
+            {"p99_ms", ms(t.at(0.99))},
+            {"worst_ms", ms(t.worst())}};
+}
+}  // namespace
+
+Value Results::value() const {
+    Value w = Value::object();
+    for (const auto& [name, t] : waits) w[name] = times_value(t);
+    return {{"runs", runs},
+            {"rules_broken", broken},
+            {"jobs", {{"submitted", jobs}, {"accepted", accepted}, {"over", over}}},
+            {"tasks", {{"started", starts}, {"started_again", started_again}}},
+            {"waits", w},
+            {"to_active", times_value(to_active)},
+            {"active_to_first_bind", times_value(to_first_bind)},
+            {"most_domains_at_one_node", most_held},
+            {"orders", {{"launches", launches}, {"stops", stops}, {"once_more", orders_again}}},
+            {"requests_a_start_of_all", starts_of_all ? requests_of_starts / starts_of_all : 0},
+            {"changes", changes}};
+}
+
+std::string Results::table() const {
+    std::string out;
+    auto line = [&](const std::string& name, const std::string& what) {
+        out += fmt::format("{:<34} {}\n", name, what);
+    };
+    auto times = [&](const std::string& name, const Times& t) {
+        if (t.count() == 0) return;
+        auto s = [](Micros x) { return static_cast<double>(x) / 1e6; };
+        line(name, fmt::format("{} of them, p50 {:.3f} s, p95 {:.3f} s, p99 {:.3f} s, worst {:.3f} s",
+                               t.count(), s(t.at(0.5)), s(t.at(0.95)), s(t.at(0.99)), s(t.worst())));
+    };
+    line("runs", std::to_string(runs));
+    line("rules broken", broken.empty() ? "none" : std::to_string(broken.size()) + ": " + broken.front());
+    line("jobs", fmt::format("{} submitted, {} accepted, {} over", jobs, accepted, over));
+    line("tasks", fmt::format("{} started, {} again though they ran on", starts, started_again));
+    for (const auto& [name, t] : waits) times("wait of " + name, t);
+    times("process back to domain active", to_active);
+    times("active to first bind", to_first_bind);
+    if (starts_of_all > 0) {
+        line("most domains at one node", fmt::format("{}, 2 s after all were back", most_held));
+        line("requests a start of all", std::to_string(requests_of_starts / starts_of_all));
+    }
+    line("orders of domains that started",
+         fmt::format("{} launches, {} stops, {} of them once more", launches, stops, orders_again));
+    for (const auto& [purpose, n] : changes) line("changes: " + purpose, std::to_string(n));
+    return out;
+}
+
+std::string Results::csv() const {
+    std::string out = "figure,count,p50_s,p95_s,p99_s,worst_s\n";
+    auto times = [&](const std::string& name, const Times& t) {
+        auto s = [](Micros x) { return static_cast<double>(x) / 1e6; };
+        out += fmt::format("{},{},{:.6f},{:.6f},{:.6f},{:.6f}\n", name, t.count(), s(t.at(0.5)),
+                           s(t.at(0.95)), s(t.at(0.99)), s(t.worst()));
+    };
+    for (const auto& [name, t] : waits) times("wait " + name, t);
+    times("to active", to_active);
+    times("active to first bind", to_first_bind);
+    auto count = [&](const std::string& name, std::size_t n) { out += fmt::format("{},{},,,,\n", name, n); };
+    count("rules broken", broken.size());
+    count("tasks started", starts);
+    count("tasks started again", started_again);
+    count("most domains at one node", most_held);
+    count("orders", launches + stops);
+    count("orders once more", orders_again);
+    count("requests a start of all", starts_of_all ? requests_of_starts / starts_of_all : 0);
+    for (const auto& [purpose, n] : changes) count("changes " + purpose, n);
+    return out;
+}
+
+// ---------------------------------------------------------------- playing
+
+namespace {
+
+/// Watches what controllers do, from outside.
+class Watcher {
+  public:
+    Watcher(World& w, Results& into)
+        : w_(w), into_(into), active_(static_cast<std::size_t>(w.node_count())) {}
+
+    void ended(int node, Micros back) { back_at_[node] = w_.now() + back; }
+    void look() {
+        for (int i = 0; i < w_.node_count(); ++i) {
+            Controller* c = w_.node(i);
+            auto& active = active_[static_cast<std::size_t>(i)];
+            if (!c) {
+                active.clear();
+                continue;
+            }
+            for (const auto& [name, o] : c->owners()) {
+                if (!o || !o->active() || !active.insert({name, o->mark()}).second) continue;
+                if (auto back = back_at_.find(i); back != back_at_.end() && o->machines().size() > 0)
+                    into_.to_active.add(w_.now() - back->second);
+            }
+        }
+    }
+    /// Figures of the starts that are held now.
+    void collect(std::set<std::pair<std::string, Revision>>& collected) {
+        for (int i = 0; i < w_.node_count(); ++i) {
+            Controller* c = w_.node(i);
+            if (!c) continue;
+            for (const auto& [name, o] : c->owners()) {
+                if (!o || !o->active() || o->machines().empty() ||
+                    !collected.insert({name, o->mark()}).second)
+                    continue;
+                const Value s = o->status()["start"];
+                into_.launches += s["launches"].get<std::size_t>();
+                into_.stops += s["stops"].get<std::size_t>();
+                into_.orders_again += s["orders_again"].get<std::size_t>();
+                if (s["first_bind_ms"].is_number())
+                    into_.to_first_bind.add(s["first_bind_ms"].get<Micros>() * kMillisecond);
+            }
+        }
+    }
+
+  private:
+    World& w_;
+    Results& into_;
+    std::vector<std::set<std::pair<std::string, Revision>>> active_;
+    std::map<int, Micros> back_at_;
+};
+
+void begin_fault(World& w, const Fault& f, Watcher& watcher, Results& into) {
+    std::vector<int> nodes;
+    for (int i = 0; i < w.node_count(); ++i)
+        if (f.node < 0 || f.node == i) nodes.push_back(i);
+    auto host = [](int i) { return "loom-" + std::to_string(i); };
+    auto names = w.machine_names();
+    std::shuffle(names.begin(), names.end(), w.random);
+    names.resize(std::min(names.size(), static_cast<std::size_t>(f.count)));
+    if (f.kind == "end" || f.kind == "end_all") {
+        w.remember_running();
+        Micros back = f.span;
+        for (int i : nodes) {
+            w.crash(i, back);
+            watcher.ended(i, back);
+            back += f.apart;
+        }
+        if (f.kind != "end_all") return;
+        const Micros all_back = w.now() + back - f.apart;
+        auto before = std::make_shared<std::uint64_t>(0);
+        auto requests = [&w] {
+            std::uint64_t n = 0;
+            for (int i = 0; i < w.node_count(); ++i) n += w.state_requests(i);
+            return n;
+        };
+        *before = requests();
+        w.at(all_back + 2 * kSecond, [&w, &into, before, requests] {
+            into.requests_of_starts += requests() - *before;
+            ++into.starts_of_all;
+            for (int i = 0; i < w.node_count(); ++i) {
+                std::size_t held = 0;
+                if (w.node(i))
+                    for (const auto& [name, o] : w.node(i)->owners()) held += o && !o->machines().empty();
+                into.most_held = std::max(into.most_held, held);
+            }
+        });
+    } else if (f.kind == "state_down") {
+        w.state().set_down(true, w.now());
+        w.at(w.now() + f.span, [&w] { w.state().set_down(false, w.now()); });
+    } else if (f.kind == "freeze") {
+        for (int i : nodes) w.freeze(i, f.span);
+    } else if (f.kind == "refuse") {
+        for (int i : nodes) {
+            w.refuse(i, true);
+            w.at(w.now() + f.span, [&w, i] { w.refuse(i, false); });
+        }
+    } else if (f.kind == "cut_state" || f.kind == "cut_workers") {
+        std::vector<std::string> others = f.kind == "cut_state" ? std::vector<std::string>{"state"} : names;
+        for (int i : nodes)
+            for (const auto& other : others) {
+                w.cut(host(i), other);
+                w.at(w.now() + f.span, [&w, n = host(i), other] { w.heal(n, other); });
+            }
+    } else if (f.kind == "kill") {
+        for (const auto& m : names) w.kill_machine(m);
+    } else if (f.kind == "hang") {
+        for (const auto& m : names) {
+            w.hang(m, true);
+            w.at(w.now() + f.span, [&w, m] { w.hang(m, false); });
+        }
+    }
+}
+
+}  // namespace
+
+void play(const Experiment& e, std::uint64_t seed, Results& into) {
+    World w(seed, e.settings, e.types);
+    standin::add_history(w.state(), e.history);
+    for (const auto& m : e.machines)
+        for (int i = 0; i < m.count; ++i) w.add_machine(m.type, m.zone, m.spot);
+    w.start_nodes(e.controllers);
+    Watcher watcher(w, into);
+    std::mt19937_64 random(seed * 7919 + 1);
+    int number = 1;
+    auto submit = [&](const Load& l) {
+        JobSpec s = l.job;
+        s.ref = w.job(number, s.kind, 1).ref;
+        s.image = s.job_class + "-" + std::to_string(number % 5);
+        s.tasks = std::uniform_int_distribution<int>(l.tasks_low, l.tasks_high)(random);
+        const double spread = std::uniform_real_distribution<double>(0.6, 1.4)(random);
+        ++number;
+        w.submit(s, static_cast<Micros>(static_cast<double>(l.run) * spread), l.fetch);
+    };
+    for (const auto& l : e.loads) {
+        for (int i = 0; i < l.initial; ++i) w.at(2 * kSecond + i * 20 * kMillisecond, [&] { submit(l); });
+        std::exponential_distribution<double> gap(std::max(l.per_minute, 1e-9) / 60e6);
+        for (double t = 3e6 + gap(random); t < static_cast<double>(e.duration) - 20e6; t += gap(random))
+            w.at(static_cast<Micros>(t), [&] { submit(l); });
+    }
+    for (const auto& f : e.faults)
+        w.at(f.at, [&w, &f, &watcher, &into] { begin_fault(w, f, watcher, into); });
+    std::set<std::pair<std::string, Revision>> collected;
+    for (Micros t = 0; t < e.duration; t += 20 * kMillisecond) w.at(t, [&] { watcher.look(); });
+    // Twelve seconds after each end, when starts have summed themselves up, and at the very end.
+    for (const auto& f : e.faults)
+        if (f.kind == "end" || f.kind == "end_all")
+            w.at(f.at + f.span + f.apart * e.controllers + 12 * kSecond, [&] { watcher.collect(collected); });
+    w.run(e.duration);
+    for (int i = 0; i < w.node_count(); ++i)
+        if (w.node(i))
+            for (const auto& [purpose, n] : w.node(i)->store().sent()) into.changes[purpose] += n;
+    ++into.runs;
+    for (const auto& b : w.broken) into.broken.push_back(fmt::format("seed {}: {}", seed, b));
+    for (const auto& ref : w.refs()) {
+        ++into.jobs;
+        const std::string told = w.told(ref);
+        into.accepted += !told.empty();
+        into.over += told == "done" || told == "cancelled";
+        into.starts += static_cast<std::size_t>(w.starts(ref));
+    }
+    into.started_again += w.started_again();
+    for (const auto& [name, t] : w.waits()) into.waits[name].add(t);
+}
+
+}  // namespace cottonway::lab
--- a/tests/world.cpp
+++ b/src/lab/world.cpp
@@ -1,10 +1,10 @@
-#include "world.hpp"
+#include "lab/world.hpp"
 
 #include <algorithm>
 
 #include "log/log.hpp"
 
-namespace cottonway::test {
+namespace cottonway::lab {
 
 using standin::JobInfo;
 using standin::Worker;
@@ -84,8 +84,9 @@
         give_up(listened() + call.timeout, pending, finish);
         std::string to = call.target == Target::State ? "state" : call.target == Target::Cloud ? "cloud" : "";
         if (call.target == Target::Worker)
-            for (auto& [name, r] : world_.workers_)
-                if (r.worker && r.worker->addr() == call.addr) to = name;
+            if (auto at = world_.by_addr_.find(call.addr);
+                at != world_.by_addr_.end() && world_.worker(at->second))
+                to = at->second;
         if (call.target == Target::Peer) to = "loom-" + std::to_string(std::stoi(call.addr.substr(7)) - 1);
         auto back = [self = shared_from_this(), to, finish](Reply r) {
             self->world_.send(to, self->name_, [finish, r = std::move(r)] { finish(r); });
@@ -126,6 +127,7 @@
         const Value body =
             call.body.is_null() ? Value() : wire::decode(wire::encode(call.body)).value_or(Value());
         if (to == "state") {
+            ++w.nodes_[static_cast<std::size_t>(index_)].state_requests;
             if (w.nodes_[static_cast<std::size_t>(index_)].refused) return back(Reply{503, Value::object()});
             if (call.path.compare(0, 8, "/changes") == 0)
                 return wait_for_change(call.path, w.now_ + standin::StateService::block_time(call.path),
@@ -174,7 +176,8 @@
     ListeningClock clock_;
 };
 
-World::World(std::uint64_t seed, Settings s) : settings(std::move(s)), random(seed), cloud_(small_types()) {
+World::World(std::uint64_t seed, Settings s, std::vector<MachineType> types)
+    : settings(std::move(s)), random(seed), cloud_(std::move(types)) {
     // WORLD_LOG=1 prints the trace and the controllers' own log lines as they come.
     spdlog::set_level(std::getenv("WORLD_LOG") ? spdlog::level::info : spdlog::level::off);
     cloud_.capacity = 0;
@@ -365,7 +368,10 @@
         if (m.up || m.up_at > now_) continue;
         m.up = true;
         m.info.state = CloudState::Running;
-        m.info.addr = "10.1.0." + std::to_string(workers_.size() + 1) + ":9000";
+        m.info.addr = "10.1." + std::to_string(workers_.size() / 250) + "." +
+                      std::to_string(workers_.size() % 250 + 1) + ":9000";
+        by_addr_[m.info.addr] = name;
+        zone_of_[name] = m.info.zone;
         auto& r = workers_[name];
         r.worker = std::make_unique<Worker>(name, m.info.addr, *cloud_.type(m.info.type), m.info.zone,
                                             m.info.spot, settings.lease, settings.gang_wait, *this, now_);
@@ -576,12 +582,24 @@
     if (u.told.empty() || stage == "done" || stage == "cancelled") {
         const std::string next = stage == "done" || stage == "cancelled" ? stage : "accepted";
         if (u.told != next) note("user is told: " + ref + " is " + next);
+        if (u.told.empty()) u.accepted_at = now_;
         if (next == "cancelled" && u.told != next) u.cancelled_at = now_;
         if (u.told != next) u.told_at = now_;
         if (u.told.empty() || u.told == "accepted") u.told = next;
     }
 }
 
+void World::remember_running() {
+    running_before_.clear();
+    for (const auto& [key, where] : on_) running_before_.insert(key);
+}
+
+std::vector<std::string> World::refs() const {
+    std::vector<std::string> out;
+    for (const auto& [ref, u] : users_) out.push_back(ref);
+    return out;
+}
+
 ApiResponse World::ask_raw(int i, const std::string& method, const std::string& path,
                            const std::string& body) {
     auto result = std::make_shared<std::optional<ApiResponse>>();
@@ -678,16 +696,14 @@
     if (!where.empty())
         breach("ran_twice", ref + "/" + std::to_string(task) + " is on " + where.begin()->first);
     where[machine] = attempt;
+    if (u.started.insert(task).second && u.accepted_at > 0)
+        waits_.emplace_back(s.job_class, now_ - u.accepted_at);
+    started_again_ += running_before_.count({ref, task});
     if (u.told == "cancelled" && now_ > u.cancelled_at + settings.cancel)
         breach("ran_cancelled", ref + " starts on " + machine);
-    Milli used = 0;
-    std::map<std::string, int> zones;
-    for (const auto& [key, places] : on_) {
-        const JobSpec& other = users_.at(key.first).info.spec;
-        if (other.team == s.team) used += other.need.cores * static_cast<Milli>(places.size());
-        if (key.first == ref)
-            for (const auto& [name, a] : places) ++zones[worker(name)->zone()];
-    }
+    const Milli used = used_[s.team] += s.need.cores;
+    auto& zones = u.zones;
+    ++zones[worker(machine)->zone()];
     for (const auto& t : settings.teams)
         if (t.name == s.team && used > t.limit.cores)
             breach("quota", s.team + " uses " + std::to_string(used));
@@ -702,8 +718,11 @@
 void World::off_machine(const std::string& machine, const std::string& ref, int task, std::int64_t attempt) {
     note(ref + "/" + std::to_string(task) + " attempt " + std::to_string(attempt) + " leaves " + machine);
     auto it = on_.find({ref, task});
-    if (it == on_.end()) return;
-    it->second.erase(machine);
+    if (it == on_.end() || it->second.erase(machine) == 0) return;
+    User& u = users_.at(ref);
+    used_[u.info.spec.team] -= u.info.spec.need.cores;
+    auto zone = u.zones.find(cloud_zone(machine));
+    if (zone != u.zones.end() && --zone->second == 0) u.zones.erase(zone);
     if (it->second.empty()) on_.erase(it);
 }
 
@@ -729,4 +748,4 @@
     return finished_gangs_.count({ref, attempt}) || gang_complete(ref, attempt);
 }
 
-}  // namespace cottonway::test
+}  // namespace cottonway::lab
--- a/tests/world.hpp
+++ b/src/lab/world.hpp
@@ -13,14 +13,15 @@
 #include "core/controller.hpp"
 #include "standin/standins.hpp"
 
-namespace cottonway::test {
+namespace cottonway::lab {
 
 Settings small_site();
 std::vector<MachineType> small_types();
 
 class World : public standin::TaskObserver {
   public:
-    explicit World(std::uint64_t seed, Settings settings = small_site());
+    explicit World(std::uint64_t seed, Settings settings = small_site(),
+                   std::vector<MachineType> types = small_types());
     ~World() override;
 
     // Time.
@@ -67,6 +68,17 @@
     JobSpec job(int number, JobKind kind, int tasks, double cores = 1);
     void submit(const JobSpec& spec, Micros run, Micros fetch = 200 * kMillisecond, bool mistaken = false);
     int poll_rate = 1;  // how many times as often as usual users poll
+    /// Requests of a node to the state service so far.
+    std::uint64_t state_requests(int node) const {
+        return nodes_[static_cast<std::size_t>(node)].state_requests;
+    }
+    /// Of each task: from the acceptance of its job to its first start.
+    const std::vector<std::pair<std::string, Micros>>& waits() const { return waits_; }
+    /// Starts of tasks that were on a machine when all controllers ended last, and had not to start again.
+    std::size_t started_again() const { return started_again_; }
+    /// From now on a start of what runs now, or has completed, counts as one that need not be.
+    void remember_running();
+    std::vector<std::string> refs() const;
     void cancel(const std::string& ref);
     ApiResponse ask(int node, const std::string& method, const std::string& path, const Value& body);
     ApiResponse ask_raw(int node, const std::string& method, const std::string& path,
@@ -103,6 +115,7 @@
         std::shared_ptr<NodeHost> host;
         std::unique_ptr<Controller> controller;
         bool refused = false;
+        std::uint64_t state_requests = 0;
         bool old = false;
         bool frozen = false;
         std::vector<std::function<void()>> due;     // timers, while it stands still
@@ -127,6 +140,9 @@
         bool polling = false;
         std::set<int> done;
         int starts = 0;
+        std::map<std::string, int> zones;  // its tasks on machines
+        Micros accepted_at = 0;
+        std::set<int> started;
     };
 
     void send(const std::string& from, const std::string& to, std::function<void()> deliver);
@@ -145,6 +161,7 @@
     void hear(const std::string& ref, Micros sent, const Value& body);
     void breach(const std::string& rule, const std::string& what);
     /// A job before this one, or the job itself, whose cancellation its user asked for, or was told of.
+    const std::string& cloud_zone(const std::string& machine) { return zone_of_[machine]; }
     bool cancel_wanted(const std::string& ref) const;
     Micros cancel_told(const std::string& ref) const;
     Micros delay();
@@ -163,7 +180,13 @@
     std::vector<std::function<void()>> kept_back_;
     std::map<std::string, User> users_;
     std::map<std::pair<std::string, int>, std::map<std::string, std::int64_t>> on_;
+    std::map<std::string, Milli> used_;  // cores by team
+    std::map<std::string, std::string> by_addr_;
+    std::map<std::string, std::string> zone_of_;  // of machines, also of those that are gone
     std::set<std::pair<std::string, std::int64_t>> finished_gangs_;
+    std::vector<std::pair<std::string, Micros>> waits_;
+    std::set<std::pair<std::string, int>> running_before_;
+    std::size_t started_again_ = 0;
 };
 
-}  // namespace cottonway::test
+}  // namespace cottonway::lab
--- a/src/standin/standins.cpp
+++ b/src/standin/standins.cpp
@@ -1,6 +1,9 @@
 #include "standin/standins.hpp"
 
 #include <algorithm>
+#include <cstdio>
+
+#include "state/records.hpp"
 
 namespace cottonway::standin {
 
@@ -70,12 +73,15 @@
     const auto since = std::stoull(query(path, "since"));
     if (events_.size() >= kEvents && since < events_.front().mark) return Reply{410, Value::object()};
     Value news = Value::array();
-    for (const auto& e : events_) {
-        if (e.mark <= since || !starts_with(e.key, prefix)) continue;
-        if (e.value.is_null())
-            news.push_back(Value{{"drop", e.key}, {"mark", e.mark}});
+    // In the order of their marks.
+    auto e = std::upper_bound(events_.begin(), events_.end(), since,
+                              [](std::uint64_t mark, const Event& event) { return mark < event.mark; });
+    for (; e != events_.end(); ++e) {
+        if (!starts_with(e->key, prefix)) continue;
+        if (e->value.is_null())
+            news.push_back(Value{{"drop", e->key}, {"mark", e->mark}});
         else
-            news.push_back(Value{{"write", e.key}, {"data", e.value}, {"mark", e.mark}});
+            news.push_back(Value{{"write", e->key}, {"data", e->value}, {"mark", e->mark}});
     }
     if (news.empty() && !last) return std::nullopt;
     return Reply{200, Value{{"ledger", ledger_}, {"news", std::move(news)}}};
@@ -166,6 +172,17 @@
     return {200, Value{{"ledger", ledger_}}};
 }
 
+void add_history(StateService& state, int jobs) {
+    for (int i = 0; i < jobs; ++i) {
+        char ref[32];
+        std::snprintf(ref, sizeof ref, "req-%07d", 2'000'000 + i);
+        state.put(keys::job + ref,
+                  {{"s", i % 20 ? "done" : "cancelled"}, {"dom", "loom-0"}, {"k", 12}, {"fd", 12}});
+    }
+    // Whoever finished them had set history apart.
+    if (jobs > 0) state.put(keys::history, {{"apart", true}});
+}
+
 // ---------------------------------------------------------------- worker
 
 Worker::Worker(std::string name, std::string addr, MachineType type, std::string zone, bool spot,
@@ -209,6 +226,7 @@
 void Worker::advance(Micros now) {
     expire(now);
     for (auto& t : tasks_) {
+        if (t.phase == Phase::Exited) continue;
         const JobInfo* info = observer_.job(t.job);
         const std::string id = t.job + "/" + std::to_string(t.task);
         if (t.phase == Phase::Fetching && (images_.count(info->spec.image) || now - t.since >= info->fetch)) {
--- a/src/standin/standins.hpp
+++ b/src/standin/standins.hpp
@@ -27,6 +27,8 @@
     void set_down(bool down, Micros now);
     void expire(Micros now);
     bool down() const { return down_; }
+    /// Puts a record there before anybody looks, beside all limits.
+    void put(const std::string& key, Value value) { items_[key] = {std::move(value), ledger_, 0}; }
     /// What it takes; more is answered 400, and changes beyond the rate 429. They may be lowered at any time.
     struct Limits {
         std::size_t value_bytes = 64 * 1024;
@@ -64,6 +66,9 @@
     Micros writes_at_ = 0;
 };
 
+/// Records of jobs that were finished before anything else, as controllers leave them behind.
+void add_history(StateService& state, int jobs);
+
 /// What a worker needs to know of a job; users upload it.
 struct JobInfo {
     JobSpec spec;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -5,11 +5,13 @@
 
 #include <fstream>
 
+#include "lab/world.hpp"
 #include "peer/messages.hpp"
 #include "state/pieces.hpp"
-#include "world.hpp"
 
 namespace cottonway::test {
+
+using namespace lab;
 namespace {
 
 #define EXPECT_RULES(w) EXPECT_TRUE((w).broken.empty()) << (w).broken.front() << "\n" << (w).story()
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -3,10 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include "lab/world.hpp"
 #include "recovery/dividing.hpp"
-#include "world.hpp"
 
 namespace cottonway::test {
+
+using namespace lab;
 namespace {
 
 #define EXPECT_RULES(w) EXPECT_TRUE((w).broken.empty()) << (w).broken.front() << "\n" << (w).story()
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
-#include "world.hpp"
+#include "lab/world.hpp"
 
 namespace cottonway::test {
+
+using namespace lab;
 namespace {
 
 class RulesHold : public testing::TestWithParam<int> {};
--- a/tests/verify_test.cpp
+++ b/tests/verify_test.cpp
@@ -4,9 +4,11 @@
 
 #include <gtest/gtest.h>
 
-#include "world.hpp"
+#include "lab/world.hpp"
 
 namespace cottonway::test {
+
+using namespace lab;
 namespace {
 
 #define EXPECT_RULES(w) EXPECT_TRUE((w).broken.empty()) << (w).broken.front() << "\n" << (w).story()
--- /dev/null
+++ b/tools/lab.cpp
@@ -0,0 +1,50 @@
+// Plays experiments in a simulated world and prints what they show. Same seed, same run.
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "lab/experiment.hpp"
+#include "log/log.hpp"
+
+using namespace cottonway;
+
+int main(int argc, char** argv) {
+    CLI::App app{"cottonway-lab: experiments on simulated machines, every rule of the protocol checked"};
+    std::string file, csv, level = "error";
+    std::int64_t seed = -1;
+    int seeds = 0;
+    bool json = false;
+    app.add_option("experiment", file, "the experiment (TOML), see examples/lab and docs/lab.md")
+        ->required()
+        ->check(CLI::ExistingFile);
+    app.add_option("--seed", seed, "the first seed, instead of the experiment's own");
+    app.add_option("--seeds", seeds, "how many, instead of the experiment's own")
+        ->check(CLI::Range(1, 100'000));
+    app.add_option("--csv", csv, "write the figures to this file");
+    app.add_flag("--json", json, "print the figures as JSON");
+    app.add_option("--log", level, "error, info or debug: the controllers' own lines, on standard error")
+        ->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    try {
+        lab::Experiment e = lab::Experiment::load(file);
+        if (seed >= 0) e.seed = static_cast<std::uint64_t>(seed);
+        if (seeds > 0) e.seeds = seeds;
+        if (!start_logging("lab", level)) throw std::runtime_error("--log: must be error, info or debug");
+        lab::Results results;
+        for (int i = 0; i < e.seeds; ++i) lab::play(e, e.seed + static_cast<std::uint64_t>(i), results);
+        if (json)
+            std::cout << results.value().dump(2) << "\n";
+        else
+            std::cout << e.name << "\n" << results.table();
+        if (!csv.empty()) {
+            std::ofstream out(csv);
+            out << results.csv();
+            if (!out) throw std::runtime_error(csv + ": can't be written");
+        }
+        return results.broken.empty() ? 0 : 1;
+    } catch (const std::exception& err) {
+        std::cerr << "cottonway-lab: " << err.what() << "\n";
+        return 2;
+    }
+}
--- a/tools/standins.cpp
+++ b/tools/standins.cpp
@@ -93,6 +93,7 @@
     std::vector<std::string> controllers{"127.0.0.1:8080"};
     int state_port = 2379, cloud_port = 8443, worker_port = 9000, workers = 3;
     double run_s = 5;
+    int history = 0;
     app.add_option("--controllers", controllers, "client addresses of the controllers")
         ->capture_default_str();
     app.add_option("--state-port", state_port)->capture_default_str();
@@ -100,10 +101,14 @@
     app.add_option("--worker-port", worker_port, "port of the first worker")->capture_default_str();
     app.add_option("--workers", workers)->check(CLI::Range(1, 100))->capture_default_str();
     app.add_option("--run", run_s, "how long every task runs, in seconds")->capture_default_str();
+    app.add_option("--history", history, "jobs that were finished before, in the state service")
+        ->check(CLI::Range(0, 10'000'000))
+        ->capture_default_str();
     CLI11_PARSE(app, argc, argv);
 
     asio::io_context io(1);
     standin::StateService state;
+    standin::add_history(state, history);
     const MachineType small{"small", {8'000, 0, 32'000}, 50'000, 1.0, 1.0, 0.4, 10 * kSecond, {"a", "b"}};
     standin::Cloud cloud({small});
     cloud.capacity = 0;
