--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kUsualBinding = 22;
 constexpr Micros kMoveEvery = 200 * kMillisecond;
+constexpr std::size_t kManyLeftOver = 200;
 constexpr Micros kOrphanPatience = 5 * kSecond;  // of records of jobs that are cancelled with another
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
 constexpr Micros kDefer = 4 * kSecond;
@@ -420,7 +421,7 @@
     }
     // What is of old form moves where history is out of the way, when changes are plenty.
     const bool moves = index == 0 && !final_record && !job.admitting && job.place == Place::Job &&
-                       context_.all_read(format::kHistory) && context_.store().room(Priority::Deferrable);
+                       context_.all_read(format::kHistory) && context_.store().quiet();
     const Place place = moves ? Place::Active : job.place;
     if (moves) {
         change.when.push_back({keys::active + ref, 0});
@@ -431,8 +432,7 @@
                                         : key_of(job, index),
                            value});
     // Where changes are plenty, what it was goes with it; else that waits for a quiet moment.
-    const bool drops =
-        final_record && job.place == Place::Active && context_.store().room(Priority::Deferrable);
+    const bool drops = final_record && job.place == Place::Active && context_.store().quiet();
     if (drops) change.then.push_back({keys::active + ref, Value()});
     change.purpose = job.admitting ? "admit" : final_record ? "over" : binding.empty() ? "done" : "bind";
     part.dirty = false;
@@ -582,8 +582,7 @@
 /// One after another, in quiet moments: each is written anew where it belongs now.
 void Owner::move_out_of_history() {
     const Micros now = context_.host().now();
-    if (!context_.all_read(format::kHistory) || now - moved_at_ < kMoveEvery ||
-        !context_.store().room(Priority::Deferrable))
+    if (!context_.all_read(format::kHistory) || now - moved_at_ < kMoveEvery || !context_.store().quiet())
         return;
     moved_at_ = now;
     for (auto& [ref, job] : jobs_) {
@@ -596,9 +595,11 @@
 
 /// Records of jobs that are over, in quiet moments. Whoever takes the domain over finds those that are left.
 void Owner::drop_left_over() {
+    // A start has to prove as many more; beyond that they compete with what else can wait.
+    const bool many = left_over_.size() > kManyLeftOver;
     std::size_t n = 0;
     while (!left_over_.empty() && n++ < context_.settings().txn_ops &&
-           context_.store().room(Priority::Deferrable)) {
+           (many ? context_.store().room(Priority::Deferrable) : context_.store().quiet())) {
         const Condition left = left_over_.back();
         left_over_.pop_back();
         Change change;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -185,6 +185,8 @@
 
 void Owner::plan() {
     const Micros now = context_.host().now();
+    startup_.waiting(
+        std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return j.second->waiting() > 0; }), now);
     // Idle work is bound in batches: that takes fewer changes and less time.
     const bool idle_turn = now - idle_planned_at_ >= kIdleEvery;
     if (idle_turn) idle_planned_at_ = now;
--- a/src/recovery/startup.cpp
+++ b/src/recovery/startup.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace cottonway::recovery {
 
 namespace {
@@ -41,8 +43,15 @@
     again_ += again;
 }
 
+void Startup::waiting(bool any, Micros now) {
+    if (!any)
+        waits_since_ = 0;
+    else if (waits_since_ == 0)
+        waits_since_ = now;
+}
+
 void Startup::bound(Micros now) {
-    if (began_ > 0 && first_bind_after_ < 0) first_bind_after_ = now - began_;
+    if (began_ > 0 && first_bind_after_ < 0) first_bind_after_ = now - std::max(began_, waits_since_);
 }
 
 std::string Startup::line(Micros now) {
@@ -55,7 +64,7 @@
         "machines, "
         "all {}; {} tasks run on, {} ended meanwhile, {} are gone, {} results and {} strays found; orders: "
         "{} "
-        "launches, {} stops, {} clears, {} of them once more; first bind {}",
+        "launches, {} stops, {} clears, {} of them once more; first bind {} of waiting",
         taken_ / kMillisecond, jobs_, inherited_, heard_.size(), machines_, after(all_heard_after_), runs_,
         ended_, gone_, results_, strays_, orders_[0], orders_[1], orders_[2], again_,
         after(first_bind_after_));
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -16,6 +16,8 @@
 constexpr Micros kGather = 3 * kMillisecond;
 // Share of a second's changes that must be left over for changes of each priority.
 constexpr std::array<double, kPriorities> kReserve{0.0, 0.15, 0.5};
+// The same for what can wait for as long as it takes.
+constexpr double kQuiet = 0.9;
 // Of the announced rate of changes: what is used, a burst of all controllers, and one of ours.
 constexpr double kUsed = 0.95;
 constexpr double kBurst = 0.9;
@@ -96,6 +98,11 @@
     return writes_.level(now) > kReserve[static_cast<std::size_t>(priority)];
 }
 
+bool Store::quiet() {
+    const Micros now = host_.now();
+    return write_queue_.size() == 0 && now >= write_queue_.pause_until && writes_.level(now) > kQuiet;
+}
+
 bool Store::take_writes(Micros now, std::size_t changes, Priority priority) {
     const auto amount = static_cast<double>(changes);
     const double reserve = kReserve[static_cast<std::size_t>(priority)] * write_rps_ * kBurst;
--- a/src/state/store.hpp
+++ b/src/state/store.hpp
@@ -123,6 +123,9 @@
     /// Whether a change of this priority would go out about now. Asked before a record is put together, so
     /// that what has to wait is written once, as it is then.
     bool room(Priority priority);
+    /// Whether next to nothing has been written lately, by anybody: for changes that can wait for hours.
+    /// Those that take what a burst of submissions would need a moment later are not for free.
+    bool quiet();
     /// What is left of a second's changes of all controllers, as far as we can tell, as a share.
     double level() { return writes_.level(host_.now()); }
 
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -132,5 +132,143 @@
     EXPECT_RULES(*w);
 }
 
+// ---------------------------------------------------------------- hard cases
+
+/// Services and batch work on machines, a gang, a pipeline half done and a queue.
+void fill(World& w) {
+    w.submit(w.job(1, JobKind::Service, 4), 0);
+    w.submit(w.job(2, JobKind::Array, 6), 12 * kSecond);
+    JobSpec gang = w.job(3, JobKind::Gang, 3, 2);
+    gang.checkpoint = 3 * kSecond;
+    gang.save = kSecond;
+    w.submit(gang, 20 * kSecond);
+    w.submit(w.job(4, JobKind::Array, 2), 15 * kSecond);
+    w.run(4 * kSecond);
+    JobSpec second = w.job(5, JobKind::Array, 2);
+    second.needs = {"req-000004"};
+    w.submit(second, 2 * kSecond);
+    JobSpec mistaken = w.job(6, JobKind::Array, 8, 0.5);
+    w.submit(mistaken, kSecond, 0, true);
+    w.run(kSecond);
+}
+
+void expect_unharmed(World& w, const std::string& what) {
+    EXPECT_EQ(w.starts("req-000001"), 4) << what << "\n" << w.story();
+    EXPECT_EQ(w.starts("req-000002"), 6) << what;
+    EXPECT_EQ(w.starts("req-000003"), 3) << what;
+    EXPECT_EQ(w.starts("req-000004"), 2) << what;
+    EXPECT_EQ(w.running("req-000001"), 4) << what;
+    for (const char* ref : {"req-000002", "req-000003", "req-000004", "req-000005"})
+        EXPECT_EQ(w.told(ref), "done") << what << " " << ref << "\n" << w.story();
+    EXPECT_RULES(w);
+}
+
+TEST(HardStarts, EndsAgainInTheMiddleOfEachStep) {
+    for (int step = 1; step <= 12; ++step) {
+        auto w = spread(static_cast<std::uint64_t>(step));
+        fill(*w);
+        for (int again = 0; again < 3; ++again) {
+            for (int i = 0; i < 3; ++i) w->crash(i, kSecond + i * 50 * kMillisecond);
+            w->run(kSecond + step * 40 * kMillisecond);
+        }
+        w->run(35 * kSecond);
+        expect_unharmed(*w, "ended again " + std::to_string(step * 40) + " ms after the first was back");
+    }
+}
+
+TEST(HardStarts, TheStoreIsDownSlowOrRefusesOneNode) {
+    for (int kind = 0; kind < 3; ++kind) {
+        auto w = spread(20 + static_cast<std::uint64_t>(kind));
+        fill(*w);
+        for (int i = 0; i < 3; ++i) w->crash(i, kSecond);
+        if (kind == 0) w->state().set_down(true, w->now());
+        if (kind == 1) w->answers_lost = 0.5;
+        if (kind == 2) w->refuse(1, true);
+        w->run(4 * kSecond);
+        w->state().set_down(false, w->now());
+        w->answers_lost = 0;
+        w->run(3 * kSecond);
+        w->refuse(1, false);
+        w->run(35 * kSecond);
+        expect_unharmed(*w, std::to_string(kind));
+    }
+}
+
+TEST(HardStarts, JustShorterThanTheLeaseNothingIsLostAndLongerAllStartsOnceMore) {
+    auto w = spread(30);
+    fill(*w);
+    for (int i = 0; i < 3; ++i) w->crash(i, 7 * kSecond);  // the workers' lease is 12 s
+    w->run(45 * kSecond);
+    expect_unharmed(*w, "shorter");
+    auto v = spread(31);
+    v->submit(v->job(1, JobKind::Service, 4), 0);
+    v->submit(v->job(2, JobKind::Array, 6), 25 * kSecond);
+    v->run(3 * kSecond);
+    for (int i = 0; i < 3; ++i) v->crash(i, 16 * kSecond);
+    v->run(15 * kSecond);
+    EXPECT_EQ(v->running("req-000001"), 0) << "their leases are over";
+    v->run(45 * kSecond);
+    EXPECT_EQ(v->starts("req-000001"), 8) << v->story();
+    EXPECT_EQ(v->starts("req-000002"), 12);
+    EXPECT_EQ(v->told("req-000002"), "done");
+    EXPECT_RULES(*v);
+}
+
+TEST(HardStarts, SomeMachinesDieAndSomeHangMeanwhile) {
+    auto w = spread(40);
+    w->submit(w->job(1, JobKind::Service, 6), 0);
+    w->run(3 * kSecond);
+    for (int i = 0; i < 3; ++i) w->crash(i, 2 * kSecond);
+    const auto names = w->machine_names();
+    w->kill_machine(names[0]);
+    w->kill_machine(names[1]);
+    w->hang(names[2], true);
+    w->hang(names[3], true);
+    w->run(4 * kSecond);
+    JobSpec next = w->job(2, JobKind::Array, 4);
+    w->submit(next, 2 * kSecond);
+    w->run(5 * kSecond);
+    EXPECT_EQ(w->told("req-000002"), "done") << "those that are heard are used at once\n" << w->story();
+    w->hang(names[2], false);
+    w->hang(names[3], false);
+    w->run(40 * kSecond);
+    EXPECT_EQ(w->running("req-000001"), 6) << w->story();
+    EXPECT_RULES(*w);
+}
+
+TEST(HardStarts, OneThatStoodStillComesBackLateAndWhatWasHeldBackArrives) {
+    auto w = spread(50);
+    fill(*w);
+    w->hold_next("loom-0", "state");  // a transaction, or a look
+    const std::string machine = w->machine_names().front();
+    w->hold_next("loom-1", machine);  // a launch, or showing a token
+    w->submit(w->job(7, JobKind::Array, 4), 3 * kSecond, 0);
+    w->run(100 * kMillisecond);
+    w->freeze(2, 12 * kSecond);  // while the others end and are back
+    w->crash(0, 2 * kSecond);
+    w->crash(1, 2 * kSecond);
+    w->run(10 * kSecond);
+    w->release();
+    w->run(35 * kSecond);
+    EXPECT_EQ(w->told("req-000007"), "done") << w->story();
+    EXPECT_EQ(w->starts("req-000007"), 4);
+    expect_unharmed(*w, "held back");
+}
+
+TEST(HardStarts, ACancellationThatWasAnsweredJustBeforeHolds) {
+    for (int ms : {0, 10, 30, 60, 120}) {
+        auto w = spread(60);
+        fill(*w);
+        w->cancel("req-000001");
+        for (int i = 0; i < 200 && w->told("req-000001") != "cancelled"; ++i) w->run(5 * kMillisecond);
+        w->run(ms * kMillisecond);
+        for (int i = 0; i < 3; ++i) w->crash(i, 3 * kSecond);
+        w->run(15 * kSecond);
+        EXPECT_EQ(w->running("req-000001"), 0) << ms << " ms after\n" << w->story();
+        EXPECT_EQ(w->starts("req-000001"), 4);
+        EXPECT_RULES(*w);
+    }
+}
+
 }  // namespace
 }  // namespace cottonway::test
