--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr std::size_t kUsualBinding = 22;
-constexpr Micros kMoveEvery = 200 * kMillisecond;
+constexpr Micros kMoveEvery = kSecond;
+constexpr Micros kDropEvery = 500 * kMillisecond;
 constexpr std::size_t kManyLeftOver = 200;
 constexpr Micros kOrphanPatience = 5 * kSecond;  // of records of jobs that are cancelled with another
 // Done tasks of a job that goes on are written together: until then their workers keep the results.
@@ -595,11 +596,13 @@
 
 /// Records of jobs that are over, in quiet moments. Whoever takes the domain over finds those that are left.
 void Owner::drop_left_over() {
-    // A start has to prove as many more; beyond that they compete with what else can wait.
+    // One at a time: all owners see the same quiet moment, and together they would end it. A start has to
+    // prove as many more; beyond a number they compete with what else can wait.
+    const Micros now = context_.host().now();
     const bool many = left_over_.size() > kManyLeftOver;
-    std::size_t n = 0;
-    while (!left_over_.empty() && n++ < context_.settings().txn_ops &&
-           (many ? context_.store().room(Priority::Deferrable) : context_.store().quiet())) {
+    if (!left_over_.empty() && now - dropped_at_ >= (many ? kDropEvery / 4 : kDropEvery) &&
+        (many ? context_.store().room(Priority::Deferrable) : context_.store().quiet())) {
+        dropped_at_ = now;
         const Condition left = left_over_.back();
         left_over_.pop_back();
         Change change;
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -424,6 +424,7 @@
     std::map<std::pair<std::string, int>, int> stray_tasks_;
     std::set<std::string> dirty_;
     std::vector<Condition> left_over_;  // records under c/active/ of jobs that are over, to be dropped
+    Micros dropped_at_ = 0;
     Micros moved_at_ = 0;
     std::vector<std::string> due_;  // machines to send orders to
     int direct_calls_ = 0;
