--- a/src/cli/client.hpp
+++ b/src/cli/client.hpp
@@ -17,8 +17,8 @@
 };
 Answer ask(const Endpoint& to, const std::string& method, const std::string& path, const Value& body);
 
-/// Sends one request and prints the answer's body. Returns the process's exit code: 0 for an answer below 300,
-/// 1 for any other, or none.
+/// Sends one request and prints the answer's body. Returns the process's exit code: 0 for an answer below
+/// 300, 1 for any other, or none.
 int request(const Endpoint& to, const std::string& method, const std::string& path, const Value& body);
 /// Submits a job, or the jobs of a list one after another, each as soon as those before it are accepted;
 /// prints the answer, or a list of them.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -166,12 +166,13 @@
 
 /// Once, for all processes of this node that are still to come.
 void Controller::announce_format() {
+    const std::uint64_t reads = settings_.ops.history_apart ? format::kHistory : format::kPipelines;
     if (!settings_.announces_format || !feed_.loaded() || announcing_ ||
-        replica_.formats.read_by(settings_.node) >= format::kNewest)
+        replica_.formats.read_by(settings_.node) >= reads)
         return;
     announcing_ = true;
     const std::string key = keys::format + settings_.node;
-    const Value value{{"reads", format::kNewest}};
+    const Value value{{"reads", reads}};
     Change change;
     change.then.push_back({key, value});
     change.purpose = "format";
@@ -309,7 +310,8 @@
     const Pipelines& pipelines = replica_.jobs.pipelines();
     v["waiting"] = Value::object();
     for (const auto& ref : pipelines.waiting()) v["waiting"][ref] = pipelines.waits_for(ref);
-    v["format"] = {{"all_new", replica_.formats.common(format::kNewest)}, {"reads", replica_.formats.all()}};
+    v["format"] = {{"all_new", replica_.formats.common(format::kPipelines)},
+                   {"reads", replica_.formats.all()}};
     v["fleet"] = fleet_.status();
     v["changes_sent"] = store_.sent();
     return v;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -104,6 +104,7 @@
 void load_settings(Table& t, Settings& s) {
     s.zones = t.texts("zones", {"a", "b"});
     s.cpu_share = t.number("cpu_share", 1, 0.001, 1000);
+    s.ops.history_apart = t.number("history_apart", 1, 0, 1) > 0;
     t.table("state", [&](Table& x) {
         s.state_rps = x.number("rps", 500, 1, 1e6);
         s.state_write_rps = s.next_write_rps = x.number("write_rps", 200, 1, 1e6);
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -24,6 +24,7 @@
     s.teams = {{"red", {8'000, 0, 0}, {24'000, 0, 0}},
                {"blue", {8'000, 0, 0}, {16'000, 0, 0}},
                {"guests", {}, {kNoLimit, kNoLimit, 0}}};
+    s.ops.history_apart = true;
     s.report_every = 2 * kSecond;
     s.lease = 12 * kSecond;
     s.gang_wait = 20 * kSecond;
--- a/src/recovery/startup.hpp
+++ b/src/recovery/startup.hpp
@@ -35,7 +35,7 @@
     std::size_t jobs_ = 0, machines_ = 0, inherited_ = 0;
     std::set<std::string> heard_;
     Micros all_heard_after_ = -1;  // -1: not yet
-    Micros waits_since_ = 0;  // without a break, 0: nothing waits
+    Micros waits_since_ = 0;       // without a break, 0: nothing waits
     Micros first_bind_after_ = -1;
     std::size_t runs_ = 0, ended_ = 0, results_ = 0, gone_ = 0, strays_ = 0;
     std::array<std::size_t, 3> orders_{};  // by kind
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -94,6 +94,7 @@
         {"placement.cores_threshold", {0, 1, plain(p.cores_threshold)}},
         {"placement.ram_threshold", {0, 1, plain(p.ram_threshold)}},
         {"leadership.live_ttl_s", {0.5, 60, seconds(out.live_ttl)}},
+        {"history.apart", {0, 1, [&out](double v) { out.history_apart = v > 0; }}},
         {"fleet.idle_return_s", {1, 86400, seconds(out.idle_return)}},
     };
     toml::table t = parse_file(path);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -53,6 +53,8 @@
     PlacementSettings placement;
     Micros live_ttl = 2'500 * kMillisecond;
     Micros idle_return = 30 * kSecond;
+    /// Whether this node announces format 3, after which live jobs move out of history (docs/history.md).
+    bool history_apart = false;
     std::string log_level;
 };
 
