--- a/src/core/history.cpp
+++ b/src/core/history.cpp
@@ -91,12 +91,7 @@
     while (!left_over_.empty() && store_.room(Priority::Deferrable)) {
         const Condition left = left_over_.back();
         left_over_.pop_back();
-        Change change;
-        change.priority = Priority::Deferrable;
-        change.when.push_back(left);
-        change.then.push_back({left.key, Value()});
-        change.purpose = "history";
-        store_.commit(std::move(change), [](const CommitResult&) {});
+        store_.commit(JobBook::dropped(left), [](const CommitResult&) {});
     }
 }
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -605,12 +605,7 @@
         dropped_at_ = now;
         const Condition left = left_over_.back();
         left_over_.pop_back();
-        Change change;
-        change.priority = Priority::Deferrable;
-        change.when.push_back(left);
-        change.then.push_back({left.key, Value()});
-        change.purpose = "history";
-        context_.store().commit(std::move(change), [this, alive = alive_, left](const CommitResult& r) {
+        context_.store().commit(JobBook::dropped(left), [this, alive = alive_, left](const CommitResult& r) {
             // Refused or unanswered: once more. On its mark it is done once, or there is nothing to do.
             if (*alive && r.status != CommitStatus::Ok && r.status != CommitStatus::Conflict)
                 left_over_.push_back(left);
--- a/src/replica/jobs.cpp
+++ b/src/replica/jobs.cpp
@@ -37,6 +37,15 @@
     return when;
 }
 
+Change JobBook::dropped(const Condition& left) {
+    Change change;
+    change.priority = Priority::Deferrable;
+    change.when.push_back(left);
+    change.then.push_back({left.key, Value()});
+    change.purpose = "history";
+    return change;
+}
+
 bool JobBook::take(const std::string& ref, Place place, const Value& value, Revision mark, Micros now) {
     JobView view = JobView::of(value, mark);
     if (auto live = live_.find(ref);
--- a/src/replica/jobs.hpp
+++ b/src/replica/jobs.hpp
@@ -84,6 +84,8 @@
     /// Conditions on which a change of the job's record rests: it is as known, and the job is not over.
     static std::vector<Condition> as_known(const std::string& ref, Place place, Revision mark,
                                            Revision shadow);
+    /// Drops what is left over under c/active/ of a job that is over.
+    static Change dropped(const Condition& left);
     /// Live jobs whose record is of old form.
     std::size_t in_old_form() const;
     /// News of a further part; null: it is gone. True if the job is live and this is new.
