--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -105,9 +105,9 @@
         auto w = spread(seed);
         w->state().set_down(true, w->now());
         w->run(2 * kSecond);
-        for (int i = 0; i < 3; ++i) w->crash(i, 6 * kSecond + i * 600 * kMillisecond);
+        for (int i = 0; i < 3; ++i) w->crash(i, 6 * kSecond + i * kSecond);
         w->run(5 * kSecond);
-        w->state().set_down(false, w->now());  // the others come up just as their old keys go
+        w->state().set_down(false, w->now());  // the last one comes up just after its old key is gone
         std::size_t most = 0;
         for (int i = 0; i < 80; ++i) {
             w->run(100 * kMillisecond);
