--- /dev/null
+++ b/src/planning/cards.hpp
@@ -0,0 +1,45 @@
+#pragma once
+// Cards left over in pieces: a term of the score that keeps them together, and moves that make room for a
+// large task that fits by total but on no machine. Pure.
+
+#include <optional>
+#include <vector>
+
+#include "planning/view.hpp"
+
+namespace cottonway::planning {
+
+/// How often each number of cards is asked for, by what waits and runs; sums to 1.
+class Shapes {
+  public:
+    void add(Milli cards, double weight);
+    /// Part of `free` cards (of one machine) that is of no use to the shapes, weighed by how often they are
+    /// asked for: 0 none, 1 all of it.
+    double useless(Milli free) const;
+    bool empty() const { return weights_.empty(); }
+
+  private:
+    std::map<Milli, double> weights_;
+};
+Shapes shapes_of(const View& view);
+
+/// Added to a candidate's score (lower is better, the paper's weights add up to 100): what the task's start
+/// there takes from the use of the machine's free cards; and what keeps work without cards off machines that
+/// have some.
+double card_penalty(const Resources& size, const Resources& booked, const Resources& need,
+                    const Shapes& shapes);
+
+/// Moves that make room for one task of `job` (index into View::jobs): the machine it shall start on, and
+/// what has to leave it, each with a destination that fits.
+struct RoomPlan {
+    Gather gather;
+    std::vector<Move> moves;
+    double cost = 0;  // seconds: time without the moved tasks, weights fetched again, work lost
+};
+std::optional<RoomPlan> make_room(const View& view, std::size_t job, const policy::Policy& policy);
+
+/// For all that waits long enough, the highest tier and the longest wait first, within the budgets; plans do
+/// not use the same room twice.
+std::vector<RoomPlan> make_rooms(const View& view, const policy::Policy& policy);
+
+}  // namespace cottonway::planning
--- /dev/null
+++ b/src/planning/priority.hpp
@@ -0,0 +1,53 @@
+#pragma once
+// The priority plan: the order in which waiting jobs are placed, what each batch tier is due of its team's
+// limit, and when a large job that waits gets room gathered. Pure: a function of stored facts (tier, rank,
+// admission, deadline, what runs), so that whoever holds the domain decides alike and no wait is forgotten.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "planning/view.hpp"
+
+namespace cottonway::planning {
+
+/// A waiting job as the queue sees it.
+struct Queued {
+    std::size_t index = 0;  // the caller's
+    std::string team;
+    policy::Tier tier = policy::Tier::Batch;
+    Rank rank = Rank::Normal;
+    bool within_guarantee = false;
+    bool late = false;  // misses its first aim whatever is done now
+    std::int64_t due_ms = INT64_MAX;
+    double weight = 0;   // work left by age: less goes first
+    Micros age = 0;      // since it began to count
+    bool begun = false;  // some task of it runs or has run
+    Resources waits;     // that its waiting tasks need in all
+    Resources task;      // that one needs
+};
+
+/// What a team may use here and uses.
+struct TeamUse {
+    Resources limit;                         // the domain's part of it
+    std::map<policy::Tier, Resources> used;  // by tier, in doubt and stopping included
+};
+
+struct Turn {
+    std::size_t index = 0;
+    bool overdue = false;  // goes before its tier because it has waited for so long
+    /// Cores of the team's limit that this job may take up to now; the rest is due to a lower tier that
+    /// waits.
+    Milli most_cores = 0;
+    bool operator==(const Turn&) const = default;
+};
+
+/// Everybody's turn, first to last. Live work is always first and has no cap but the limit.
+std::vector<Turn> turns(const std::vector<Queued>& queue, const std::map<std::string, TeamUse>& teams,
+                        const policy::Priority& priority);
+
+/// Room for the largest waiting batch job that has not begun within `begin_within`: machines on which it is
+/// gathered.
+std::vector<Gather> gather(const View& view, const policy::Policy& policy);
+
+}  // namespace cottonway::planning
