--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -10,56 +10,14 @@
 
 namespace {
 
-constexpr std::size_t kMaxImages = 64;
-constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
-constexpr Micros kProven = 5 * kSecond;    // a task that has run for this long can run
+constexpr Micros kProven = 5 * kSecond;  // a task that has run for this long can run
 
 using recovery::Verdict;
 
-std::size_t binding_bytes(const Machine& m) {
-    return m.name.size() + kBindingBytes;
-}
-
 }  // namespace
 
-void Owner::bind(Job& job, int task, Machine& m, std::int64_t attempt) {
-    Slot& slot = job.slots[static_cast<std::size_t>(task)];
-    const int errors = slot.errors;
-    slot = Slot{};
-    slot.errors = errors;
-    slot.state = SlotState::Binding;
-    slot.attempt = attempt;
-    slot.machine = &m;
-    --job.idle;
-    ++job.bound;
-    auto& part = job.part_of(task);
-    ++part.binding;
-    part.bytes += binding_bytes(m);
-    m.booked += job.spec.need;
-    if (job.rank == Rank::Low) m.idle_work += job.spec.need.cores;
-    m.tasks.insert({&job, task});
-    usage_[job.spec.team] += job.spec.need;
-    remember_image(m, job, false);
-}
-
 void Owner::set_idle(Job& job, Slot& slot) {
-    Machine& m = *slot.machine;
-    const auto task = static_cast<int>(&slot - job.slots.data());
-    auto& part = job.part_of(task);
-    if (slot.state == SlotState::Binding) --part.binding;
-    part.bytes -= binding_bytes(m);
-    m.booked -= job.spec.need;
-    if (job.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
-    m.tasks.erase({&job, task});
-    forget_fetch(m, job);
-    if (m.tasks.empty()) m.idle_since = context_.host().listened();
-    usage_[job.spec.team] -= job.spec.need;
-    slot.machine = nullptr;
-    slot.state = SlotState::Idle;
-    job.first_idle = std::min(job.first_idle, static_cast<std::size_t>(task));
-    slot.seen = slot.foreign = slot.launch_sent = slot.stop = false;
-    --job.bound;
-    ++job.idle;
+    ledger_.release(job, slot, context_.host().listened());
     plan_due_ = true;
 }
 
@@ -89,7 +47,7 @@
     touch(job, static_cast<std::size_t>(task) / job.part_tasks);
 }
 
-void Owner::stop_slot(Slot& slot, Micros grace) {
+void Owner::stop(Slot& slot, Micros grace) {
     if (slot.stop && grace >= slot.grace) return;
     slot.stop = true;
     slot.grace = grace;
@@ -106,7 +64,7 @@
         if (slot.state == SlotState::Binding)
             gone(job, static_cast<int>(i), 0);  // never durable, so never launched
         else if (slot.state == SlotState::Bound)
-            stop_slot(slot, 0);
+            stop(slot, 0);
     }
     dirty_.insert(job.spec.ref);
     context_.wake();
@@ -117,7 +75,7 @@
     if (job.stage != Stage::Queued || job.gang_stopping || job.gang_done || job.bound == 0) return;
     job.gang_stopping = true;
     for (auto& slot : job.slots)
-        if (slot.state == SlotState::Binding || slot.state == SlotState::Bound) stop_slot(slot, 0);
+        if (slot.state == SlotState::Binding || slot.state == SlotState::Bound) stop(slot, 0);
     for (std::size_t i = 0; i < job.slots.size(); ++i)
         if (job.slots[i].state == SlotState::Binding) gone(job, static_cast<int>(i), 0);
     job.gang_stopping = false;
@@ -188,10 +146,10 @@
 
     ++m.messages;
     startup_.heard(m.name, now);
-    forget_strays(m);
+    ledger_.forget_strays(m);
     m.exited.clear();
     for (const auto& t : r.tasks) {
-        Job* job = find_job(t.job);
+        Job* job = ledger_.job(t.job);
         Slot* slot = job && static_cast<std::size_t>(t.task) < job->slots.size()
                          ? &job->slots[static_cast<std::size_t>(t.task)]
                          : nullptr;
@@ -212,8 +170,7 @@
                 mark_done(*job, t.task);
                 break;
             case Verdict::Stray:
-                m.strays.push_back(t);
-                ++stray_tasks_[{t.job, t.task}];
+                ledger_.add_stray(m, t);
                 break;
             default:
                 break;
@@ -228,35 +185,6 @@
     if (!was_usable && usable(m)) plan_due_ = true;
 }
 
-/// The machine has the image from now on, or fetches it: then others that need the same had better wait for
-/// that one fetch than start another elsewhere.
-void Owner::remember_image(Machine& m, const Job& job, bool ready) {
-    auto known = std::find_if(m.images.begin(), m.images.end(),
-                              [&](const Machine::Image& i) { return i.name == job.spec.image; });
-    if (known != m.images.end()) {
-        known->ready = known->ready || ready;
-        std::rotate(known, known + 1, m.images.end());
-    } else {
-        m.images.push_back({job.spec.image, job.spec.image_gb, ready});
-    }
-    Milli total = 0;
-    for (const auto& i : m.images) total += i.gb;
-    while (m.images.size() > 1 && (m.images.size() > kMaxImages || (m.type && total > m.type->cache_gb))) {
-        total -= m.images.front().gb;
-        m.images.erase(m.images.begin());
-    }
-}
-
-/// A fetch is given up once no task waits for it any more.
-void Owner::forget_fetch(Machine& m, const Job& job) {
-    const bool waited_for = std::any_of(m.tasks.begin(), m.tasks.end(), [&](const TaskRef& t) {
-        return t.job->spec.image == job.spec.image;
-    });
-    if (!waited_for)
-        std::erase_if(m.images,
-                      [&](const Machine::Image& i) { return !i.ready && i.name == job.spec.image; });
-}
-
 recovery::Stored Owner::stored(const Job* job, const Slot* slot, const Machine& m,
                                std::int64_t attempt) const {
     using State = recovery::Stored::State;
@@ -296,7 +224,7 @@
         // What an earlier holder has begun has run for some time, nobody knows for how long.
         slot.run_since = slot.foreign ? now - job.spec.estimate / 2 : now;
         spdlog::debug("task {}/{}: runs on {}", job.spec.ref, &slot - job.slots.data(), m.name);
-        remember_image(m, job, true);
+        Ledger::remember_image(m, job, true);
     }
     slot.phase = phase;
     if (phase == Phase::Running && now - slot.run_since > kProven) proved(job);
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -19,8 +19,8 @@
     peer::DomainLoad d;
     d.domain = domain_;
     d.mark = mark_;
-    d.jobs = static_cast<std::uint32_t>(jobs_.size());
-    for (const auto& [name, m] : machines_) {
+    d.jobs = static_cast<std::uint32_t>(ledger_.jobs.size());
+    for (const auto& [name, m] : ledger_.machines) {
         if (!m->type || m->retired) continue;
         ++d.machines;
         d.capacity += m->type->size.cores;
@@ -31,7 +31,7 @@
         if (m->tasks.empty()) (m->spot ? d.idle_spot : d.idle_ordinary) += m->type->size.cores;
     }
     std::map<std::string, Resources> waiting;
-    for (const auto& [ref, job] : jobs_) {
+    for (const auto& [ref, job] : ledger_.jobs) {
         if (job->rank == Rank::Production && job->open)
             d.production += job->spec.need.cores * (job->idle + job->bound);
         if (job->waiting() == 0) continue;
@@ -41,9 +41,8 @@
         d.waiting += job->spec.need.cores * job->idle;
     }
     for (const auto& team : context_.settings().teams) {
-        auto used = usage_.find(team.name);
-        d.teams.push_back({team.name, context_.share(domain_, team.name),
-                           used == usage_.end() ? Resources{} : used->second, waiting[team.name]});
+        d.teams.push_back(
+            {team.name, context_.share(domain_, team.name), ledger_.used(team.name), waiting[team.name]});
     }
     return d;
 }
@@ -53,8 +52,8 @@
     const Micros now = context_.host().now();
     // The job that has waited longest for room speaks for those that need the same.
     const Job* first = nullptr;
-    for (const auto& [ref, job] : jobs_)
-        if (job->waiting() > 0 && now - job->waiting_since > kWantAfter && quota_allows(*job, 1) &&
+    for (const auto& [ref, job] : ledger_.jobs)
+        if (job->waiting() > 0 && now - job->waiting_since > kWantAfter && planner_.quota_allows(*job, 1) &&
             (!first || job->serial < first->serial))
             first = job.get();
     if (!first) return std::nullopt;
@@ -75,7 +74,7 @@
                 [&](const std::string& a, const std::string& b) { return used[a] < used[b]; });
     }
     if (first->spec.types && first->spec.types->size() == 1) w.type = first->spec.types->front();
-    for (const auto& [ref, job] : jobs_)
+    for (const auto& [ref, job] : ledger_.jobs)
         if (job->spec.spot == first->spec.spot && now - job->waiting_since > kWantAfter)
             w.cores += job->spec.need.cores * job->waiting();
     return w;
@@ -86,7 +85,7 @@
     if (!active_) return names;
     const Micros now = context_.host().listened();
     std::vector<Machine*> idle;
-    for (auto& [name, m] : machines_) {
+    for (auto& [name, m] : ledger_.machines) {
         if (!usable(*m) || !m->tasks.empty() || !m->exited.empty() || !m->taints.empty()) continue;
         if (!m->answer_launches.empty() || m->direct_in_flight || m->raising) continue;
         if (now - m->idle_since < kIdleOffer) continue;
@@ -109,7 +108,7 @@
 
 void Owner::keep(const std::vector<std::string>& machines) {
     for (const auto& name : machines)
-        if (auto it = machines_.find(name); it != machines_.end()) it->second->leaving = false;
+        if (auto it = ledger_.machines.find(name); it != ledger_.machines.end()) it->second->leaving = false;
     plan_due_ = true;
 }
 
@@ -117,12 +116,12 @@
 /// ever bound: of the others something may still be on machines of ours.
 void Owner::rehome(const std::string& to, Milli ordinary, Milli spot) {
     const Micros now = context_.host().now();
-    for (auto& [ref, owned] : jobs_) {
+    for (auto& [ref, owned] : ledger_.jobs) {
         Job& job = *owned;
         auto& part = job.parts[0];
         if (job.stage != Stage::Queued || job.next_attempt != 1 || job.idle != job.spec.tasks) continue;
         if (part.in_flight || part.reloading || part.mark == 0) continue;
-        if (!machines_.empty() && (!job.open || now - job.waiting_since < kWantAfter)) continue;
+        if (!ledger_.machines.empty() && (!job.open || now - job.waiting_since < kWantAfter)) continue;
         const Milli need = job.spec.need.cores * job.spec.tasks;
         if (need > ordinary + (job.spec.spot ? spot : 0)) continue;
         const Milli from_spot = job.spec.spot ? std::min(need, spot) : 0;
@@ -141,7 +140,7 @@
         context_.store().commit(std::move(change),
                                 [this, alive = alive_, ref = ref, to](const CommitResult& r) {
                                     if (!*alive) return;
-                                    Job* found = find_job(ref);
+                                    Job* found = ledger_.job(ref);
                                     if (!found) return;
                                     found->parts[0].in_flight = false;
                                     found->leaving = false;
@@ -155,9 +154,8 @@
 
 Resources Owner::spare_share(const std::string& team) const {
     const Resources share = context_.share(domain_, team);
-    Resources spare = share;
-    if (auto used = usage_.find(team); used != usage_.end()) spare -= used->second;
-    for (const auto& [ref, job] : jobs_)
+    Resources spare = share - ledger_.used(team);
+    for (const auto& [ref, job] : ledger_.jobs)
         if (job->spec.team == team) {
             spare.cores -= job->spec.need.cores * job->waiting();
             spare.cards -= job->spec.need.cards * job->waiting();
@@ -169,12 +167,12 @@
 
 Value Owner::status() const {
     int waiting = 0, running = 0;
-    for (const auto& [ref, job] : jobs_) {
+    for (const auto& [ref, job] : ledger_.jobs) {
         if (job->open) waiting += job->idle;
         running += job->bound;
     }
     Value machines = Value::array();
-    for (const auto& [name, m] : machines_)
+    for (const auto& [name, m] : ledger_.machines)
         machines.push_back({{"name", name},
                             {"block", m->block},
                             {"type", m->type_name},
@@ -185,9 +183,9 @@
                             {"silent_ms", silent_for(*m) / kMillisecond},
                             {"relayed", m->relayed},
                             {"retired", m->retired}});
-    return {{"domain", domain_},    {"token", mark_},           {"active", active_},
-            {"jobs", jobs_.size()}, {"tasks_waiting", waiting}, {"tasks_bound", running},
-            {"machines", machines}, {"start", startup_.value()}};
+    return {{"domain", domain_},           {"token", mark_},           {"active", active_},
+            {"jobs", ledger_.jobs.size()}, {"tasks_waiting", waiting}, {"tasks_bound", running},
+            {"machines", machines},        {"start", startup_.value()}};
 }
 
 }  // namespace cottonway
--- a/src/core/faults.cpp
+++ b/src/core/faults.cpp
@@ -55,7 +55,7 @@
     job.proven = true;
     const Micros now = context_.host().now();
     for (const auto& name : job.failed_on)
-        if (auto m = machines_.find(name); m != machines_.end()) blame(*m->second, job, now);
+        if (auto m = ledger_.machines.find(name); m != ledger_.machines.end()) blame(*m->second, job, now);
     job.failed_on.clear();
     if (!job.held) return;
     job.held = false;
--- /dev/null
+++ b/src/core/job.hpp
@@ -0,0 +1,121 @@
+#pragma once
+// A job in its holder's memory: its tasks, what is known of each attempt, and how its record stands.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/machine.hpp"
+#include "state/records.hpp"
+
+namespace cottonway {
+
+enum class SlotState : std::uint8_t { Idle, Binding, Bound, DonePending, Done };
+
+/// One task. At most one attempt of it exists that is not proven gone.
+struct Slot {
+    SlotState state = SlotState::Idle;
+    bool seen = false;     // a report has shown this attempt
+    bool foreign = false;  // bound by an earlier holder, or under an earlier term
+    bool launch_sent = false;
+    bool launch_by_answer = false;
+    bool stop = false;
+    Phase phase = Phase::Fetching;
+    std::int64_t attempt = 0;
+    Machine* machine = nullptr;
+    std::uint64_t launch_token = 0;
+    std::uint64_t launch_session = 0;
+    std::uint64_t launch_seq = 0;
+    std::uint64_t shown = 0;  // the last of its machine's messages that showed it
+    Micros grace = 0;
+    Micros stop_sent = 0;
+    Micros run_since = 0;
+    Micros retry_at = 0;
+    int errors = 0;
+};
+
+/// How the admission of a job went: with the record if it is durable now.
+struct Admission {
+    CommitStatus status = CommitStatus::Unavailable;
+    Revision revision = 0;
+    Value record;
+    Place place = Place::Job;  // where it stands
+};
+
+struct Job {
+    JobSpec spec;
+    std::uint64_t serial = 0;
+    Stage stage = Stage::Queued;
+    std::int64_t submitted_ms = 0;
+    /// Its gate: while it waits for others it has no slots and counts for nothing.
+    bool open = true;
+    bool piped = false;         // it needed others
+    bool needed = false;        // others wait for it
+    bool orphaned = false;      // cancelled with another
+    std::int64_t since_ms = 0;  // when it began to count: its submission, or the end of the last job needed
+    Rank rank = Rank::Normal;   // its own, or that of a job that needs it
+    std::int64_t due_ms = INT64_MAX;
+    std::vector<Slot> slots;
+    std::int64_t next_attempt = 1;
+    int idle = 0, bound = 0, done = 0;  // by state; Binding counts as bound, DonePending as done
+    std::size_t first_idle = 0;         // no task before it waits
+    Micros waiting_since = 0;
+    bool within_guarantee = false;
+    Micros idle_turn = 0;         // when idle work is bound again
+    bool no_holding_out = false;  // there is nothing to wait for (see Owner::holds_out)
+    bool leaving = false;         // being given to another domain: nothing of it is bound
+    /// Whether it can run at all: a task of it has ended well, or has run for a while.
+    bool proven = false;
+    std::set<std::string> failed_on;  // machines, while nothing is proven
+    int failures = 0;
+    bool held = false;           // taken to be broken: tried with one task at a time
+    std::int64_t held_from = 0;  // the first attempt made since
+    int tries = 0;               // since then
+    Micros try_after = 0;
+    bool gang_stopping = false;
+    bool gang_done = false;  // one task is done, so all are; each counts until it is proven gone
+
+    /// Tasks are stored in parts, since a value is limited; part 0 is the job record itself.
+    struct Part {
+        Revision mark = 0;
+        bool dirty = false;
+        bool in_flight = false;
+        bool reloading = false;
+        int binding = 0;        // tasks whose bind waits for this part to be written
+        std::size_t bytes = 0;  // of bindings, when written
+        Micros dirty_since = 0;
+        Micros not_before = 0;
+    };
+    std::size_t part_tasks = 64;
+    std::vector<Part> parts;
+    Place place = Place::Job;  // where its record stands, and is written next
+    Revision shadow = 0;       // see LiveJob
+
+    /// Set while the record that admits the job is not durable yet: told how that went.
+    std::function<void(const Admission&)> admitting;
+
+    /// Tasks that wait for room. Those of a job that is taken to be broken don't, and idle work takes what is
+    /// left over: neither moves machines or shares, or keeps other jobs away.
+    int waiting() const { return stage == Stage::Queued && open && !held && !leftover() ? idle : 0; }
+    /// Takes what is left over. Idle work within its team's guarantee need not wait for other teams.
+    bool leftover() const { return rank == Rank::Low && !within_guarantee; }
+
+    Part& part_of(int task) { return parts[static_cast<std::size_t>(task) / part_tasks]; }
+    /// Nothing of it is left to run, to stop or to wait for.
+    bool over() const {
+        return stage == Stage::Cancelled ? bound == 0 : spec.kind != JobKind::Service && done == spec.tasks;
+    }
+    /// How many of its tasks may be in one zone.
+    int zone_cap() const { return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks; }
+    /// Its tasks by zone, with old attempts that are still on machines, in doubt or stopping.
+    std::map<std::string, int> zones() const;
+};
+
+inline bool TaskRef::operator<(const TaskRef& o) const {
+    return job->serial != o.job->serial ? job->serial < o.job->serial : task < o.task;
+}
+
+}  // namespace cottonway
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -44,11 +44,11 @@
 }
 
 void Owner::on_shadow(const std::string& ref, Revision shadow) {
-    if (Job* job = find_job(ref)) job->shadow = std::max(job->shadow, shadow);
+    if (Job* job = ledger_.job(ref)) job->shadow = std::max(job->shadow, shadow);
 }
 
 void Owner::on_job(const std::string& ref, Place place, const Value& value, Revision mark) {
-    Job* known = find_job(ref);
+    Job* known = ledger_.job(ref);
     if (!known) {
         if (wire::text(value, "dom") != domain_) return;
         const auto stage = wire::text(value, "s");
@@ -67,7 +67,7 @@
         // The previous version's records don't tell and have 64 tasks a part.
         divide(*job, std::max<std::size_t>(wire::count(value, "ps").value_or(64), 1));
         known = job.get();
-        jobs_.emplace(ref, std::move(job));
+        ledger_.jobs.emplace(ref, std::move(job));
         if (known->orphaned) cancel(*known);
         known->held = wire::flag(value, "er").value_or(false);
         known->place = place;
@@ -115,7 +115,7 @@
 void Owner::admit(JobSpec spec, std::int64_t submitted_ms, const Standing& standing,
                   std::function<void(const Admission&)> done) {
     const std::string ref = spec.ref;
-    if (find_job(ref)) return done({CommitStatus::Unknown, 0, {}});
+    if (ledger_.job(ref)) return done({CommitStatus::Unknown, 0, {}});
     auto job = new_job(std::move(spec), submitted_ms, std::nullopt, standing);
     auto needs = std::exchange(job->spec.needs, {});  // gone by the time when its parts fill
     divide(*job,
@@ -124,14 +124,14 @@
     if (context_.all_read(format::kHistory)) job->place = Place::Active;
     job->admitting = std::move(done);
     touch(*job, 0);
-    jobs_.emplace(ref, std::move(job));
+    ledger_.jobs.emplace(ref, std::move(job));
     plan_due_ = true;
     planned_at_ = 0;  // what finds room now is bound by the change that admits it
     context_.wake();
 }
 
 void Owner::reconsider(const std::string& ref) {
-    Job* job = find_job(ref);
+    Job* job = ledger_.job(ref);
     if (!job) return;
     const Standing standing = context_.standing(ref);
     take_standing(*job, standing);
@@ -181,7 +181,7 @@
 }
 
 void Owner::on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) {
-    Job* job = find_job(ref);
+    Job* job = ledger_.job(ref);
     if (!job || part == 0 || part >= job->parts.size()) return;
     auto& p = job->parts[part];
     if (mark <= p.mark || p.in_flight || p.reloading) return;
@@ -219,10 +219,10 @@
             return;
         }
         if (slot.state != SlotState::Idle || slot.attempt >= attempt) return;
-        auto m = machines_.find(machine);
+        auto m = ledger_.machines.find(machine);
         // No machine of ours: it was proven gone, or given away empty.
-        if (m == machines_.end()) return;
-        bind(job, static_cast<int>(task), *m->second, attempt);
+        if (m == ledger_.machines.end()) return;
+        ledger_.bind(job, static_cast<int>(task), *m->second, attempt);
         --job.parts[part].binding;
         slot.state = SlotState::Bound;
         slot.foreign = true;
@@ -323,7 +323,7 @@
     };
     std::vector<Due> list;
     for (auto it = dirty_.begin(); it != dirty_.end();) {
-        Job* job = find_job(*it);
+        Job* job = ledger_.job(*it);
         if (!job) {
             it = dirty_.erase(it);
             continue;
@@ -453,7 +453,7 @@
 void Owner::written(const std::string& ref, std::size_t index, const Value& value, bool final_record,
                     const std::vector<AttemptKey>& binding, const std::vector<int>& done, Place place,
                     const CommitResult& result) {
-    Job* job = find_job(ref);
+    Job* job = ledger_.job(ref);
     if (!job) return;
     auto& p = job->parts[index];
     p.in_flight = false;
@@ -502,7 +502,7 @@
 }
 
 void Owner::reload(const std::string& ref, std::size_t index) {
-    Job* known = find_job(ref);
+    Job* known = ledger_.job(ref);
     if (!known) return;
     auto& part = known->parts[index];
     if (part.reloading || part.in_flight) return;
@@ -510,7 +510,7 @@
     read_record(ref, index,
                 [this, alive = alive_, ref, index](const ReadResult& r, Place place, Revision shadow) {
                     if (!*alive) return;
-                    Job* job = find_job(ref);
+                    Job* job = ledger_.job(ref);
                     if (!job) return;
                     if (!r.ok) return reload_later(ref, index);
                     // It is the truth about our own writes only as long as the domain is ours: a new holder
@@ -551,14 +551,14 @@
 void Owner::reload_later(const std::string& ref, std::size_t index) {
     context_.host().after(300 * kMillisecond, [this, alive = alive_, ref, index] {
         if (!*alive) return;
-        if (Job* job = find_job(ref)) job->parts[index].reloading = false;
+        if (Job* job = ledger_.job(ref)) job->parts[index].reloading = false;
         reload(ref, index);
     });
 }
 
 void Owner::reloaded(const std::string& ref, std::size_t index, const ReadResult& r, Place place,
                      Revision shadow) {
-    Job* job = find_job(ref);
+    Job* job = ledger_.job(ref);
     if (!job) return;
     job->parts[index].reloading = false;
     const auto stage = wire::text(r.value, "s");
@@ -586,7 +586,7 @@
     if (!context_.all_read(format::kHistory) || now - moved_at_ < kMoveEvery || !context_.store().quiet())
         return;
     moved_at_ = now;
-    for (auto& [ref, job] : jobs_) {
+    for (auto& [ref, job] : ledger_.jobs) {
         const auto& part = job->parts[0];
         if (job->place != Place::Job || job->admitting || part.dirty || part.in_flight || part.reloading)
             continue;
@@ -620,12 +620,12 @@
     if (auto asked = std::exchange(job.admitting, nullptr)) asked({CommitStatus::Conflict, 0, {}});
     for (auto& slot : job.slots)
         if (slot.state == SlotState::Binding || slot.state == SlotState::Bound) set_idle(job, slot);
-    jobs_.erase(std::string(job.spec.ref));
+    ledger_.jobs.erase(std::string(job.spec.ref));
 }
 
 void Owner::drop_job(const std::string& ref) {
-    auto it = jobs_.find(ref);
-    if (it == jobs_.end()) return;
+    auto it = ledger_.jobs.find(ref);
+    if (it == ledger_.jobs.end()) return;
     Job& job = *it->second;
     if (auto asked = std::exchange(job.admitting, nullptr)) asked({CommitStatus::Conflict, 0, {}});
     for (std::size_t i = 0; i < job.slots.size(); ++i) {
@@ -641,7 +641,7 @@
         change.purpose = "cleanup";
         context_.store().commit(std::move(change), [](const CommitResult&) {});
     }
-    jobs_.erase(it);
+    ledger_.jobs.erase(it);
     plan_due_ = true;
     context_.wake();
 }
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,111 @@
+#include "core/ledger.hpp"
+
+#include <algorithm>
+
+namespace cottonway {
+
+namespace {
+
+constexpr std::size_t kMaxImages = 64;
+constexpr std::size_t kBindingBytes = 14;  // of a binding besides the machine's name
+
+std::size_t binding_bytes(const Machine& m) {
+    return m.name.size() + kBindingBytes;
+}
+
+}  // namespace
+
+Machine* Ledger::machine(const std::string& name) const {
+    auto it = machines.find(name);
+    return it == machines.end() ? nullptr : it->second.get();
+}
+
+Job* Ledger::job(const std::string& ref) const {
+    auto it = jobs.find(ref);
+    return it == jobs.end() ? nullptr : it->second.get();
+}
+
+Resources Ledger::used(const std::string& team) const {
+    auto it = usage_.find(team);
+    return it == usage_.end() ? Resources{} : it->second;
+}
+
+void Ledger::bind(Job& job, int task, Machine& m, std::int64_t attempt) {
+    Slot& slot = job.slots[static_cast<std::size_t>(task)];
+    const int errors = slot.errors;
+    slot = Slot{};
+    slot.errors = errors;
+    slot.state = SlotState::Binding;
+    slot.attempt = attempt;
+    slot.machine = &m;
+    --job.idle;
+    ++job.bound;
+    auto& part = job.part_of(task);
+    ++part.binding;
+    part.bytes += binding_bytes(m);
+    m.booked += job.spec.need;
+    if (job.rank == Rank::Low) m.idle_work += job.spec.need.cores;
+    m.tasks.insert({&job, task});
+    usage_[job.spec.team] += job.spec.need;
+    remember_image(m, job, false);
+}
+
+void Ledger::release(Job& job, Slot& slot, Micros listened) {
+    Machine& m = *slot.machine;
+    const auto task = static_cast<int>(&slot - job.slots.data());
+    auto& part = job.part_of(task);
+    if (slot.state == SlotState::Binding) --part.binding;
+    part.bytes -= binding_bytes(m);
+    m.booked -= job.spec.need;
+    if (job.rank == Rank::Low) m.idle_work -= job.spec.need.cores;
+    m.tasks.erase({&job, task});
+    forget_fetch(m, job);
+    if (m.tasks.empty()) m.idle_since = listened;
+    usage_[job.spec.team] -= job.spec.need;
+    slot.machine = nullptr;
+    slot.state = SlotState::Idle;
+    job.first_idle = std::min(job.first_idle, static_cast<std::size_t>(task));
+    slot.seen = slot.foreign = slot.launch_sent = slot.stop = false;
+    --job.bound;
+    ++job.idle;
+}
+
+void Ledger::add_stray(Machine& m, const ReportedTask& t) {
+    m.strays.push_back(t);
+    ++stray_tasks_[{t.job, t.task}];
+}
+
+void Ledger::forget_strays(Machine& m) {
+    for (const auto& s : m.strays)
+        if (--stray_tasks_[{s.job, s.task}] <= 0) stray_tasks_.erase({s.job, s.task});
+    m.strays.clear();
+}
+
+void Ledger::remember_image(Machine& m, const Job& job, bool ready) {
+    auto known = std::find_if(m.images.begin(), m.images.end(),
+                              [&](const Machine::Image& i) { return i.name == job.spec.image; });
+    if (known != m.images.end()) {
+        known->ready = known->ready || ready;
+        std::rotate(known, known + 1, m.images.end());
+    } else {
+        m.images.push_back({job.spec.image, job.spec.image_gb, ready});
+    }
+    Milli total = 0;
+    for (const auto& i : m.images) total += i.gb;
+    while (m.images.size() > 1 && (m.images.size() > kMaxImages || (m.type && total > m.type->cache_gb))) {
+        total -= m.images.front().gb;
+        m.images.erase(m.images.begin());
+    }
+}
+
+/// A fetch is given up once no task waits for it any more.
+void Ledger::forget_fetch(Machine& m, const Job& job) {
+    const bool waited_for = std::any_of(m.tasks.begin(), m.tasks.end(), [&](const TaskRef& t) {
+        return t.job->spec.image == job.spec.image;
+    });
+    if (!waited_for)
+        std::erase_if(m.images,
+                      [&](const Machine::Image& i) { return !i.ready && i.name == job.spec.image; });
+}
+
+}  // namespace cottonway
--- /dev/null
+++ b/src/core/machine.hpp
@@ -0,0 +1,103 @@
+#pragma once
+// A machine of a domain as its holder knows it: what is on it, what it was last heard to say, what was sent
+// to it and is not settled.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/wire.hpp"
+
+namespace cottonway {
+
+struct Job;
+
+/// Names one attempt at a task.
+struct AttemptKey {
+    std::string job;
+    int task = 0;
+    std::int64_t attempt = 0;
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+/// A task of a job in the owner's memory; ordered by admission, not by address, so that runs repeat.
+struct TaskRef {
+    Job* job = nullptr;
+    int task = 0;
+    bool operator<(const TaskRef& o) const;
+};
+
+/// What another controller has promised about a machine: not to renew its lease any more.
+struct Promise {
+    Micros until = 0;
+    Micros renewed = 0;  // when it may have done so last
+};
+
+struct Machine {
+    std::string name;
+    std::string block;
+    std::string type_name;
+    std::string zone;
+    std::string addr;
+    bool spot = false;
+    bool retired = false;
+    std::uint64_t token = 0;  // of its block record; the domain's mark may be higher
+    const MachineType* type = nullptr;
+    std::uint64_t session = 0;
+    std::uint64_t seq = 0;
+    std::uint64_t token_seen = 0;
+    std::uint64_t messages = 0;     // taken in so far
+    std::uint64_t min_session = 0;  // earlier sessions are proven over
+    Micros heard = 0;               // by the steady clock, for what is proven by time
+    Micros listened = 0;            // the same in time spent listening, for what is merely unheard
+    Micros answered = 0;            // when a report was last answered 200
+    Micros known_since = 0;
+    bool notice = false;
+    Micros notice_end = 0;
+    Resources booked;
+    Milli idle_work = 0;  // cores of these that work of idle rank has
+    std::set<TaskRef> tasks;
+    std::vector<ReportedTask> exited;
+    std::vector<ReportedTask> strays;
+    std::vector<Promise> promises;  // by peer
+    /// Launches sent by /do that were not answered: live until the worker's token or session is raised.
+    struct Taint {
+        std::uint64_t token = 0;
+        std::uint64_t session = 0;
+        Micros since = 0;
+    };
+    std::map<AttemptKey, Taint> taints;
+    /// Launches in report answers, by the sequence of the report; settled by any later report.
+    std::map<AttemptKey, std::uint64_t> answer_launches;
+    std::set<AttemptKey> direct_launches;  // in the /do that is under way
+    bool direct_in_flight = false;
+    Micros direct_after = 0;
+    Micros direct_backoff = 0;
+    Micros direct_ok = 0;  // when it last answered a call of ours
+    bool relayed = false;  // its last report came through another controller
+    Micros relayed_since = 0;
+    Micros probed_at = 0;
+    bool suspect = false;   // a connection to it did not come about; until it is heard again
+    bool due = false;       // in the owner's list of machines to send to
+    bool raising = false;   // its token is being raised
+    bool retiring = false;  // being marked as retired
+    bool leaving = false;   // being given to another domain
+    bool draining = false;  // nothing new is bound to it
+    Micros idle_since = 0;  // in time spent listening
+    Micros avoid_until = 0;
+    std::set<std::string> error_jobs;  // whose tasks fail here though they run elsewhere
+    /// Images that it has, or is fetching for a task; most recent last.
+    struct Image {
+        std::string name;
+        Milli gb = 0;
+        bool ready = false;
+    };
+    std::vector<Image> images;
+
+    /// Heard through another controller only, and not reached by a call of ours since.
+    bool out_of_reach() const { return relayed && direct_ok <= relayed_since; }
+};
+
+}  // namespace cottonway
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -15,8 +15,8 @@
 }  // namespace
 
 std::optional<Owner::Answer> Owner::on_report(const Report& report, bool authorised, bool relayed) {
-    auto it = machines_.find(report.machine);
-    if (it == machines_.end()) return std::nullopt;
+    auto it = ledger_.machines.find(report.machine);
+    if (it == ledger_.machines.end()) return std::nullopt;
     Machine& m = *it->second;
     // Its new holder may reach it before the outcome of the move reaches us.
     if (report.token > token(m) && m.leaving) return std::nullopt;
@@ -51,7 +51,7 @@
         // After a clear the attempt is unknown to the worker, and a launch that is still on its way would
         // start it once more: wait until none can be.
         if (m.taints.count(key) || m.answer_launches.count(key) || m.direct_launches.count(key)) continue;
-        const Job* job = find_job(t.job);
+        const Job* job = ledger_.job(t.job);
         if (job && t.task < job->spec.tasks) {
             const Slot& slot = job->slots[static_cast<std::size_t>(t.task)];
             if (slot.state == SlotState::DonePending) continue;  // durable first
@@ -133,7 +133,7 @@
     if (static_cast<int>(due_.size()) > most - direct_calls_) {
         std::vector<std::pair<int, std::string>> order;
         for (auto& name : due_)
-            if (auto m = machines_.find(name); m != machines_.end())
+            if (auto m = ledger_.machines.find(name); m != ledger_.machines.end())
                 order.emplace_back(urgency(*m->second), std::move(name));
         std::stable_sort(order.begin(), order.end(),
                          [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -142,8 +142,8 @@
     }
     std::vector<std::string> later;
     for (const auto& name : std::exchange(due_, {})) {
-        auto it = machines_.find(name);
-        if (it == machines_.end()) continue;
+        auto it = ledger_.machines.find(name);
+        if (it == ledger_.machines.end()) continue;
         if (direct_calls_ >= most) {
             later.push_back(name);
             continue;
@@ -183,8 +183,8 @@
                                            session](const Reply& r) {
         if (!*alive) return;
         --direct_calls_;
-        auto it = machines_.find(machine);
-        if (it == machines_.end()) return;
+        auto it = ledger_.machines.find(machine);
+        if (it == ledger_.machines.end()) return;
         Machine& x = *it->second;
         x.direct_in_flight = false;
         auto launched = std::exchange(x.direct_launches, {});
@@ -205,7 +205,7 @@
             x.direct_after = context_.host().now() + 100 * kMillisecond;
         // Answered: what the worker does not show was not started and will not be.
         for (const auto& key : launched) {
-            Job* job = find_job(key.job);
+            Job* job = ledger_.job(key.job);
             if (!job) continue;
             Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
             if (slot.state == SlotState::Bound && slot.attempt == key.attempt && !slot.seen &&
@@ -225,7 +225,7 @@
     m.direct_after = now + m.direct_backoff;
     m.suspect = true;
     for (const auto& key : launched) {
-        Job* job = find_job(key.job);
+        Job* job = ledger_.job(key.job);
         if (!job) continue;
         Slot& slot = job->slots[static_cast<std::size_t>(key.task)];
         if (slot.state != SlotState::Bound || slot.attempt != key.attempt || slot.seen) continue;
@@ -259,15 +259,15 @@
     context_.edit_machine(domain_, m.name, OwnerContext::MachineEdit::Raise,
                           [this, alive = alive_, name = m.name](bool) {
                               if (!*alive) return;
-                              auto it = machines_.find(name);
-                              if (it != machines_.end()) it->second->raising = false;
+                              auto it = ledger_.machines.find(name);
+                              if (it != ledger_.machines.end()) it->second->raising = false;
                               context_.wake();
                           });
 }
 
 void Owner::retire(const std::string& machine, const char* why) {
-    auto it = machines_.find(machine);
-    if (it == machines_.end() || it->second->retiring || it->second->retired) return;
+    auto it = ledger_.machines.find(machine);
+    if (it == ledger_.machines.end() || it->second->retiring || it->second->retired) return;
     it->second->retiring = true;
     spdlog::info("machine {}: to be returned: {}", machine, why);
     // Its deletion ends the doubt about what is on it.
@@ -276,8 +276,8 @@
                           urgent ? OwnerContext::MachineEdit::RetireNow : OwnerContext::MachineEdit::Retire,
                           [this, alive = alive_, machine](bool) {
                               if (!*alive) return;
-                              auto found = machines_.find(machine);
-                              if (found != machines_.end()) found->second->retiring = false;
+                              auto found = ledger_.machines.find(machine);
+                              if (found != ledger_.machines.end()) found->second->retiring = false;
                           });
 }
 
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr Micros kPlanEvery = 20 * kMillisecond;
-// Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
-// launch, reports, a result) that is a fifth of its time.
-constexpr double kIdleStarts = 600;
 
 }  // namespace
 
@@ -23,23 +20,19 @@
       mark_(mark),
       former_end_(former_authority_end),
       taken_at_(context.host().now()),
-      idle_starts_(kIdleStarts * context.settings().cpu_share, kIdleStarts * context.settings().cpu_share) {}
+      planner_(context, domain_, ledger_, *this) {}
 
 Owner::~Owner() {
     *alive_ = false;
     // What of these is durable is in the store; whoever asked looks there.
-    for (auto& [ref, job] : jobs_)
+    for (auto& [ref, job] : ledger_.jobs)
         if (job->admitting) job->admitting({CommitStatus::Unknown, 0, {}});
 }
 
-Job* Owner::find_job(const std::string& ref) const {
-    auto it = jobs_.find(ref);
-    return it == jobs_.end() ? nullptr : it->second.get();
-}
 // ---------------------------------------------------------------- machines
 
 void Owner::on_machine(const Block& block, const Block::Machine& entry) {
-    auto& owned = machines_[entry.name];
+    auto& owned = ledger_.machines[entry.name];
     if (!owned) {
         owned = std::make_unique<Machine>();
         owned->name = entry.name;
@@ -62,22 +55,16 @@
 void Owner::on_machine_gone(const std::string& name, const char* why) {
     // A record stops listing a machine once the cloud has confirmed its deletion, or when it has been given
     // to another domain while it was empty: whatever a job's record still lists there is gone.
-    auto it = machines_.find(name);
-    if (it == machines_.end()) return;
+    auto it = ledger_.machines.find(name);
+    if (it == ledger_.machines.end()) return;
     void_machine(*it->second, why);
-    machines_.erase(it);
-}
-
-void Owner::forget_strays(Machine& m) {
-    for (const auto& s : m.strays)
-        if (--stray_tasks_[{s.job, s.task}] <= 0) stray_tasks_.erase({s.job, s.task});
-    m.strays.clear();
+    ledger_.machines.erase(it);
 }
 
 void Owner::void_machine(Machine& m, const char* why) {
     if (!m.tasks.empty()) spdlog::info("machine {}: {} tasks are gone: {}", m.name, m.tasks.size(), why);
     for (const auto& t : std::set(m.tasks)) gone(*t.job, t.task, 0);
-    forget_strays(m);
+    ledger_.forget_strays(m);
     m.exited.clear();
     m.taints.clear();
     m.answer_launches.clear();
@@ -88,8 +75,8 @@
 }
 
 void Owner::drain(const std::string& machine, bool on) {
-    auto it = machines_.find(machine);
-    if (it == machines_.end() || it->second->draining == on) return;
+    auto it = ledger_.machines.find(machine);
+    if (it == ledger_.machines.end() || it->second->draining == on) return;
     it->second->draining = on;
     plan_due_ = true;
     spdlog::info("machine {}: {}", machine, on ? "surplus, nothing new is bound to it" : "needed again");
@@ -130,7 +117,7 @@
 std::vector<std::string> Owner::to_renounce(std::size_t peer) const {
     std::vector<std::string> names;
     const Micros now = context_.host().now();
-    for (const auto& [name, m] : machines_)
+    for (const auto& [name, m] : ledger_.machines)
         if (!m->tasks.empty() && silent_for(*m) > context_.settings().lease / 2 &&
             m->promises[peer].until < now + context_.settings().lease)
             names.push_back(name);
@@ -138,27 +125,27 @@
 }
 
 void Owner::renounced(std::size_t peer, const std::string& machine, Promise promise) {
-    auto it = machines_.find(machine);
-    if (it != machines_.end()) it->second->promises[peer] = promise;
+    auto it = ledger_.machines.find(machine);
+    if (it != ledger_.machines.end()) it->second->promises[peer] = promise;
 }
 
 // ---------------------------------------------------------------- the pass over everything
 
 void Owner::activate() {
     active_ = true;
-    for (auto& [ref, job] : jobs_)
+    for (auto& [ref, job] : ledger_.jobs)
         if (job->spec.kind == JobKind::Gang && job->idle > 0 && job->bound > 0) settle_gang(*job);
     std::size_t bound = 0;
-    for (const auto& [name, m] : machines_) bound += m->tasks.size();
+    for (const auto& [name, m] : ledger_.machines) bound += m->tasks.size();
     const Micros now = context_.host().now();
-    startup_.began(now, now - taken_at_, jobs_.size(), machines_.size(), bound);
-    spdlog::info("domain {}: active with {} jobs and {} machines, token {}", domain_, jobs_.size(),
-                 machines_.size(), mark_);
+    startup_.began(now, now - taken_at_, ledger_.jobs.size(), ledger_.machines.size(), bound);
+    spdlog::info("domain {}: active with {} jobs and {} machines, token {}", domain_, ledger_.jobs.size(),
+                 ledger_.machines.size(), mark_);
 }
 
 void Owner::tick() {
     const Micros now = context_.host().now();
-    for (auto& [name, owned] : machines_) {
+    for (auto& [name, owned] : ledger_.machines) {
         Machine& m = *owned;
         if (!m.type) m.type = context_.machine_type(m.type_name);
         if (m.token_seen < token(m) || (active_ && m.seq == 0)) poke(m);
@@ -194,7 +181,7 @@
         drop_left_over();
         move_out_of_history();
     }
-    if (std::any_of(jobs_.begin(), jobs_.end(), [now](const auto& j) {
+    if (std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [now](const auto& j) {
             const Job& job = *j.second;
             return job.stage == Stage::Queued && job.open && job.idle > 0 &&
                    (!job.held || now >= job.try_after);
@@ -203,6 +190,19 @@
     work();
 }
 
+void Owner::plan() {
+    const Micros now = context_.host().now();
+    startup_.waiting(std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(),
+                                 [](const auto& j) { return j.second->waiting() > 0; }),
+                     now);
+    planner_.plan();
+}
+
+void Owner::bound(Job& job, int task) {
+    startup_.bound(context_.host().now());
+    touch(job, static_cast<std::size_t>(task) / job.part_tasks);
+}
+
 void Owner::work() {
     const Micros now = context_.host().now();
     if (active_ && plan_due_) {
@@ -231,11 +231,11 @@
         const Micros ran = slot.run_since > 0 ? now - slot.run_since : 0;
         if (job->spec.kind == JobKind::Gang) {
             for (auto& s : job->slots)
-                if (s.state == SlotState::Bound) stop_slot(s, job->spec.save + kSecond);
+                if (s.state == SlotState::Bound) stop(s, job->spec.save + kSecond);
         } else if (job->spec.kind == JobKind::Service || job->spec.checkpoint > 0) {
-            stop_slot(slot, job->spec.save + kSecond);
+            stop(slot, job->spec.save + kSecond);
         } else if (job->spec.estimate * 4 / 5 - ran > left) {
-            stop_slot(slot, 0);
+            stop(slot, 0);
         }
     }
 }
--- a/src/core/plan.cpp
+++ b/src/core/planner.cpp
@@ -1,4 +1,4 @@
-// The owner's planning: who goes first, the five steps for each task, and room made by preemption.
+#include "core/planner.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -20,6 +20,9 @@
 constexpr Micros kForgetUse = 60 * kSecond;  // a peak of use halves in this time
 constexpr double kFetchPenalty = 10;         // a second
 constexpr Micros kIdleEvery = 500 * kMillisecond;
+// Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
+// launch, reports, a result) that is a fifth of its time.
+constexpr double kIdleStarts = 600;
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
 constexpr int kPreemptions = 20;          // in one pass
 constexpr std::size_t kBindingRoom = 20;  // bytes a task that a part has room for
@@ -32,31 +35,49 @@
     return count;
 }
 
-bool Owner::allowed(const Job& job, const Machine& m) const {
+Planner::Planner(OwnerContext& context, std::string domain, Ledger& ledger, Domain& of)
+    : context_(context),
+      domain_(std::move(domain)),
+      ledger_(ledger),
+      of_(of),
+      idle_starts_(kIdleStarts * context.settings().cpu_share, kIdleStarts * context.settings().cpu_share) {}
+
+void Planner::bind(Job& job, int task, Machine& m, std::int64_t attempt) {
+    ledger_.bind(job, task, m, attempt);
+    of_.bound(job, task);
+}
+
+/// It waits for the team's limit, not for room.
+void Planner::miss_share(const Job& job) {
+    auto& missing = short_of_share_[job.spec.team];
+    missing.cores += job.spec.need.cores * job.idle;
+    missing.cards += job.spec.need.cards * job.idle;
+}
+
+bool Planner::allowed(const Job& job, const Machine& m) {
     const JobSpec& s = job.spec;
     if (m.spot && !s.spot) return false;
     if (s.zone && *s.zone != m.zone) return false;
     return !s.types || std::find(s.types->begin(), s.types->end(), m.type_name) != s.types->end();
 }
 
-bool Owner::quota_allows(const Job& job, int tasks) const {
+bool Planner::quota_allows(const Job& job, int tasks) const {
     const Resources share = context_.share(domain_, job.spec.team);
-    auto used = usage_.find(job.spec.team);
-    Resources sum = used == usage_.end() ? Resources{} : used->second;
+    Resources sum = ledger_.used(job.spec.team);
     sum.cores += job.spec.need.cores * tasks;
     sum.cards += job.spec.need.cards * tasks;
     return sum.cores <= share.cores && sum.cards <= share.cards;
 }
 
 /// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
-bool Owner::hopeless(const Job& job) const {
+bool Planner::hopeless(const Job& job) const {
     const JobSpec& s = job.spec;
     return std::any_of(no_room_.begin(), no_room_.end(), [&](const NoRoom& n) {
         return n.spot == s.spot && n.zone == s.zone && n.types == s.types && n.need.fits(s.need);
     });
 }
 
-void Owner::remember_no_room(const Job& job) {
+void Planner::remember_no_room(const Job& job) {
     const JobSpec& s = job.spec;
     // Only where the rest of its constraints have not played a part.
     if (s.spread || s.one_zone || hopeless(job)) return;
@@ -64,7 +85,7 @@
 }
 
 /// How long a task would wait for its image. Several fetches at a time share a machine's rate.
-Micros Owner::fetch_time(const Job& job, const Machine& m) {
+Micros Planner::fetch_time(const Job& job, const Machine& m) {
     int others = 0;
     for (const auto& image : m.images) {
         if (image.name == job.spec.image && image.ready) return 0;
@@ -76,34 +97,34 @@
 
 /// Where fetching the image would take longer than the operators' aim allows a service to wait, room is made
 /// on a machine that has it, rather than a fetch begun elsewhere; but for no longer than that can help.
-bool Owner::holds_out(const Job& job) const {
+bool Planner::holds_out(const Job& job) const {
     if (job.rank != Rank::Production || job.no_holding_out) return false;
     const auto goals = context_.settings().goals("wait", job.spec.job_class);
     if (goals.empty()) return false;
     const Micros waited = context_.host().now() - job.waiting_since;
     if (waited > goals.front() * 3 / 5) return false;
-    return std::none_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    return std::none_of(ledger_.machines.begin(), ledger_.machines.end(), [&](const auto& entry) {
         const Machine& m = *entry.second;
         const Micros fetch = fetch_time(job, m);
-        return fetch > 0 && waited + fetch < goals.front() && usable(m) && allowed(job, m) &&
+        return fetch > 0 && waited + fetch < goals.front() && of_.usable(m) && allowed(job, m) &&
                job.spec.need.fits(m.type->size - m.booked);
     });
 }
 
 /// Idle work takes what other work has not used lately, so that a burst of that finds room at once. On spot
 /// machines only, where there are any: others may wait for the ordinary ones that can use no other.
-void Owner::weigh_idle_room() {
+void Planner::weigh_idle_room() {
     const Micros now = context_.host().now();
-    spot_machines_ = std::count_if(machines_.begin(), machines_.end(),
-                                   [this](const auto& m) { return m.second->spot && usable(*m.second); });
+    spot_machines_ = std::count_if(ledger_.machines.begin(), ledger_.machines.end(),
+                                   [this](const auto& m) { return m.second->spot && of_.usable(*m.second); });
     Milli size = 0, used = 0, idle = 0;
-    for (const auto& [name, m] : machines_) {
-        if (!usable(*m) || (spot_machines_ > 0 && !m->spot)) continue;
+    for (const auto& [name, m] : ledger_.machines) {
+        if (!of_.usable(*m) || (spot_machines_ > 0 && !m->spot)) continue;
         size += m->type->size.cores;
         used += m->booked.cores - m->idle_work;
         idle += m->idle_work;
     }
-    for (const auto& [ref, job] : jobs_)
+    for (const auto& [ref, job] : ledger_.jobs)
         if (job->spec.spot || spot_machines_ == 0) used += job->spec.need.cores * job->waiting();
     const auto passed = static_cast<double>(peak_use_at_ > 0 ? now - peak_use_at_ : 0);
     peak_use_at_ = now;
@@ -114,7 +135,7 @@
 
 /// Whether it misses its first aim whatever is done now, and need not hurry for a later one either: then
 /// others of its rank that can still make it go first.
-bool Owner::can_be_late(const Job& job) const {
+bool Planner::can_be_late(const Job& job) const {
     const auto goals = context_.settings().goals("finished", job.spec.job_class);
     if (goals.empty()) return false;
     const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
@@ -125,17 +146,18 @@
 
 /// Machines that it may use but had better not: those it failed on, until something of it has run elsewhere,
 /// and for idle work the ordinary ones, which others may wait for that can use no other.
-bool Owner::keeps_off(const Job& job, const Machine& m) const {
+bool Planner::keeps_off(const Job& job, const Machine& m) const {
     if (job.failed_on.count(m.name)) return true;
     return job.leftover() && job.spec.spot && !m.spot && spot_machines_ > 0;
 }
 
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
 /// reach are asked separately.
-std::vector<Candidate> Owner::candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines) {
+std::vector<Candidate> Planner::candidates_for(const Job& job, bool relayed,
+                                               std::vector<Machine*>& machines) {
     std::vector<Candidate> list;
-    for (auto& [name, m] : machines_) {
-        if (m->out_of_reach() != relayed || !usable(*m) || !allowed(job, *m)) continue;
+    for (auto& [name, m] : ledger_.machines) {
+        if (m->out_of_reach() != relayed || !of_.usable(*m) || !allowed(job, *m)) continue;
         if (keeps_off(job, *m)) continue;
         Candidate c;
         c.index = machines.size();
@@ -159,8 +181,8 @@
 /// The five steps over a part of the machines first, where a part is clearly better: those that have the
 /// image, or at least fetch it already, for urgent work, since a fetch takes longer than anything else in a
 /// start; spot machines, for what may use them, since that leaves the ordinary ones to what may not.
-std::ptrdiff_t Owner::place_for(const Job& job, const std::vector<Candidate>& open,
-                                const std::vector<Machine*>& machines, bool ready_only) {
+std::ptrdiff_t Planner::place_for(const Job& job, const std::vector<Candidate>& open,
+                                  const std::vector<Machine*>& machines, bool ready_only) {
     enum class Image { Any, Fetching, Ready };
     auto pass = [&](Image image, bool spot) {
         std::vector<Candidate> part;
@@ -183,27 +205,11 @@
     return -1;
 }
 
-void Owner::plan() {
+/// Highest rank first, then what is guaranteed, then the nearest deadline. Among equals the least work left
+/// goes first, so that one wide array does not hold up many small jobs; waiting makes up for size, so that
+/// none waits for ever.
+std::vector<Job*> Planner::queue(bool idle_turn) {
     const Micros now = context_.host().now();
-    startup_.waiting(
-        std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) { return j.second->waiting() > 0; }), now);
-    // Idle work is bound in batches: that takes fewer changes and less time.
-    const bool idle_turn = now - idle_planned_at_ >= kIdleEvery;
-    if (idle_turn) idle_planned_at_ = now;
-    std::vector<Job*> order;
-    for (auto& [ref, job] : jobs_) {
-        if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
-        // The gate: every bind comes from here, and nothing of a job starts before all that it needs are
-        // done.
-        if (!job->open) continue;
-        if (job->held && (now < job->try_after || job->bound > 0)) continue;
-        job->within_guarantee = context_.within_guarantee(ref);
-        if (job->leftover() && (!idle_turn || now < job->idle_turn)) continue;
-        order.push_back(job.get());
-    }
-    // Highest rank first, then what is guaranteed, then the nearest deadline.
-    // Among equals the least work left goes first, so that one wide array does not hold up many small jobs;
-    // waiting makes up for size, so that none waits for ever.
     const std::int64_t now_ms = context_.host().wall_ms();
     auto weight = [&](const Job* j) {
         const auto left = static_cast<double>(j->idle + j->bound) *
@@ -217,17 +223,36 @@
         double weight;
     };
     std::vector<Weighed> weighed;
-    for (Job* j : order) weighed.push_back({j, can_be_late(*j), weight(j)});
+    for (auto& [ref, job] : ledger_.jobs) {
+        if (job->stage != Stage::Queued || job->leaving || job->idle == 0) continue;
+        // The gate: every bind comes from here, and nothing of a job starts before all that it needs are
+        // done.
+        if (!job->open) continue;
+        if (job->held && (now < job->try_after || job->bound > 0)) continue;
+        job->within_guarantee = context_.within_guarantee(ref);
+        if (job->leftover() && (!idle_turn || now < job->idle_turn)) continue;
+        weighed.push_back({job.get(), can_be_late(*job), weight(job.get())});
+    }
     std::stable_sort(weighed.begin(), weighed.end(), [&](const auto& a, const auto& b) {
         auto key = [&](const Weighed& w) {
             return std::tuple(w.job->rank, !w.job->within_guarantee, w.job->due_ms, w.late, w.weight);
         };
         return key(a) < key(b);
     });
-    for (std::size_t i = 0; i < order.size(); ++i) order[i] = weighed[i].job;
+    std::vector<Job*> order;
+    for (const auto& w : weighed) order.push_back(w.job);
+    return order;
+}
+
+void Planner::plan() {
+    const Micros now = context_.host().now();
+    // Idle work is bound in batches: that takes fewer changes and less time.
+    const bool idle_turn = now - idle_planned_at_ >= kIdleEvery;
+    if (idle_turn) idle_planned_at_ = now;
+    const std::vector<Job*> order = queue(idle_turn);
     no_room_.clear();
     if (idle_turn) weigh_idle_room();
-    idle_bound_ = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
+    idle_bound_ = std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [](const auto& j) {
         return j.second->rank == Rank::Low && j.second->bound > 0;
     });
     short_of_share_.clear();
@@ -242,7 +267,7 @@
 }
 
 /// Whether stopping a task would make its job miss an aim that it can still make.
-bool Owner::spoils(const Job& job, Micros ran) const {
+bool Planner::spoils(const Job& job, Micros ran) const {
     const auto goals = context_.settings().goals("finished", job.spec.job_class);
     const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
     const Micros left = std::max<Micros>(job.spec.estimate * 6 / 5 - ran, 2 * kSecond);
@@ -252,12 +277,12 @@
 
 /// Idle work of long tasks is bound the more seldom: each bind costs a change, and what was just stopped to
 /// make room is likely to be stopped again.
-Micros Owner::idle_pause(const Job& job) {
+Micros Planner::idle_pause(const Job& job) {
     return std::clamp(job.spec.estimate / 20, kIdleEvery, kIdleLong);
 }
 
 /// True if nothing is left to place.
-bool Owner::plan_job(Job& job) {
+bool Planner::plan_job(Job& job) {
     const Micros now = context_.host().now();
     if (job.spec.kind != JobKind::Gang && hopeless(job)) return false;
     std::vector<Machine*> machines;
@@ -281,7 +306,7 @@
     for (std::size_t i = job.first_idle; i < job.slots.size(); ++i) {
         Slot& slot = job.slots[i];
         if (slot.state != SlotState::Idle) continue;
-        if (slot.retry_at > now || stray_tasks_.count({job.spec.ref, static_cast<int>(i)})) {
+        if (slot.retry_at > now || ledger_.strays(job.spec.ref, static_cast<int>(i))) {
             all = all && slot.retry_at > now;
             continue;
         }
@@ -291,9 +316,7 @@
             continue;
         }
         if (!quota_allows(job, 1)) {  // not for want of room
-            auto& missing = short_of_share_[job.spec.team];
-            missing.cores += job.spec.need.cores * job.idle;
-            missing.cards += job.spec.need.cards * job.idle;
+            miss_share(job);
             return true;
         }
         if (job.leftover()) {
@@ -326,9 +349,7 @@
         }
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
         bind(job, static_cast<int>(i), m, attempt);
-        startup_.bound(now);
         job.next_attempt = attempt + 1;
-        touch(job, i / job.part_tasks);
         ++per_zone[m.zone];
         auto& c = candidates[static_cast<std::size_t>(chosen)];
         c.booked += job.spec.need;
@@ -341,19 +362,17 @@
 }
 
 /// A gang binds all its tasks in one pass or none.
-bool Owner::plan_gang(Job& job, const std::vector<Candidate>& candidates,
-                      const std::vector<Machine*>& machines) {
+bool Planner::plan_gang(Job& job, const std::vector<Candidate>& candidates,
+                        const std::vector<Machine*>& machines) {
     const Micros now = context_.host().now();
     if (job.bound > 0 || job.idle < job.spec.tasks - job.done)
         return true;  // the old attempt is not gone yet
     for (std::size_t i = 0; i < job.slots.size(); ++i)
         if (job.slots[i].state == SlotState::Idle &&
-            (job.slots[i].retry_at > now || stray_tasks_.count({job.spec.ref, static_cast<int>(i)})))
+            (job.slots[i].retry_at > now || ledger_.strays(job.spec.ref, static_cast<int>(i))))
             return true;
     if (!quota_allows(job, job.idle)) {
-        auto& missing = short_of_share_[job.spec.team];
-        missing.cores += job.spec.need.cores * job.idle;
-        missing.cards += job.spec.need.cards * job.idle;
+        miss_share(job);
         return true;
     }
     std::vector<std::string> zones{""};
@@ -389,8 +408,6 @@
         const std::int64_t attempt = job.next_attempt++;
         for (const auto& [task, m] : chosen) {
             bind(job, task, *m, attempt);
-            startup_.bound(now);
-            touch(job, static_cast<std::size_t>(task) / job.part_tasks);
         }
         spdlog::info("gang {}: attempt {} bound, {} tasks", job.spec.ref, attempt, chosen.size());
         return true;
@@ -400,7 +417,7 @@
 
 /// Makes room for a job's waiting tasks: stops what is worth least on the machine where the least is lost.
 /// Room that is being made already is claimed first, in the order of the jobs.
-void Owner::preempt(Job& job) {
+void Planner::preempt(Job& job) {
     const Micros now = context_.host().now();
     // Stopping work that cannot save itself throws it away. Services may always do that; others only when
     // their deadline is near, or when a guarantee has been waited for.
@@ -424,9 +441,9 @@
         Machine* best = nullptr;
         std::vector<Victim> victims;
         double loss = 0;
-        for (auto& [name, owned] : machines_) {
+        for (auto& [name, owned] : ledger_.machines) {
             Machine& m = *owned;
-            if (!usable(m) || !allowed(job, m)) continue;
+            if (!of_.usable(m) || !allowed(job, m)) continue;
             if (ready_only && fetch_time(job, m) > 0) continue;
             auto used = per_zone.find(m.zone);
             const int there = used == per_zone.end() ? 0 : used->second;
@@ -449,15 +466,15 @@
         for (const auto& v : victims) {
             spdlog::info("task {}/{}: stopped to make room for {}", v.job->spec.ref,
                          v.slot - v.job->slots.data(), job.spec.ref);
-            stop_slot(*v.slot, v.grace);
+            of_.stop(*v.slot, v.grace);
         }
     }
 }
 
 /// What would be lost by making room for one more task on the machine, if that can be done; `taken` tells
 /// what would have to be stopped, nothing if enough is stopping already.
-std::optional<double> Owner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
-                                      bool hurries, std::vector<Victim>& taken) const {
+std::optional<double> Planner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
+                                        bool hurries, std::vector<Victim>& taken) const {
     const Micros now = context_.host().now();
     Resources room = m.type->size - m.booked;
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
