--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -115,11 +115,16 @@
 };
 
 const char* name_of(Tier tier);
+const char* name_of(Survive survive);
 
 /// What all controllers go by until operators have set one.
 Policy default_policy(const Settings& settings);
 
-/// The record's value, and back; nothing if it is damaged. Unknown fields are ignored.
+/// What of it is out of bounds or contradicts itself: one line that names the key and the reason; "" if
+/// nothing.
+std::string problem_of(const Policy& policy);
+
+/// The record's value, and back; nothing if it is damaged (a revision of 0 is). Unknown fields are ignored.
 Value to_value(const Policy& policy);
 std::optional<Policy> from_value(const Value& value);
 
