--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -1,105 +1,19 @@
 #include "lab/experiment.hpp"
 
 #include <fmt/format.h>
-#include <toml++/toml.h>
 
-#include <cmath>
 #include <set>
 
 #include "log/log.hpp"
+#include "settings/table.hpp"
 
 namespace cottonway::lab {
 
 namespace {
 
-[[noreturn]] void fail(const std::string& key, const std::string& why) {
-    throw std::runtime_error(key + ": " + why);
-}
-
-/// A table whose keys are all asked for: what is left over is a mistake.
-class Table {
-  public:
-    Table(const toml::table& table, std::string path) : table_(table), path_(std::move(path)) {}
-    ~Table() noexcept(false) {
-        if (std::uncaught_exceptions() > 0) return;
-        for (const auto& [key, value] : table_)
-            if (!asked_.count(std::string(key.str()))) fail(path_ + std::string(key.str()), "unknown key");
-    }
-    double number(const char* key, double fallback, double low, double high) {
-        asked_.insert(key);
-        const auto* node = table_.get(key);
-        if (!node) return fallback;
-        const auto v = node->value<double>();
-        if (!v) fail(path_ + key, "must be a number");
-        if (*v < low || *v > high) fail(path_ + key, fmt::format("must be from {} to {}", low, high));
-        return *v;
-    }
-    int count(const char* key, int fallback, int high = 10'000'000) {
-        return static_cast<int>(number(key, fallback, 0, high));
-    }
-    Micros seconds(const char* key, double fallback) {
-        return static_cast<Micros>(std::llround(number(key, fallback, 0, 1e6) * 1e6));
-    }
-    Milli milli(const char* key, double fallback) {
-        return static_cast<Milli>(std::llround(number(key, fallback, 0, 1e9) * 1000));
-    }
-    std::string text(const char* key, const std::string& fallback) {
-        asked_.insert(key);
-        const auto* node = table_.get(key);
-        if (!node) return fallback;
-        const auto v = node->value<std::string>();
-        if (!v) fail(path_ + key, "must be text");
-        return *v;
-    }
-    bool flag(const char* key) {
-        asked_.insert(key);
-        const auto* node = table_.get(key);
-        return node && node->value<bool>().value_or(false);
-    }
-    std::vector<std::string> texts(const char* key, std::vector<std::string> fallback) {
-        asked_.insert(key);
-        const auto* list = table_.get_as<toml::array>(key);
-        if (!list) return fallback;
-        std::vector<std::string> out;
-        for (const auto& v : *list) out.push_back(v.value<std::string>().value_or(""));
-        return out;
-    }
-    template <class F>
-    void table(const char* key, F use) {
-        asked_.insert(key);
-        if (const auto* t = table_.get_as<toml::table>(key)) {
-            Table sub(*t, path_ + key + ".");
-            use(sub);
-        }
-    }
-    template <class F>
-    void rows(const char* key, F use) {
-        asked_.insert(key);
-        const auto* list = table_.get_as<toml::array>(key);
-        if (!list) return;
-        std::size_t i = 0;
-        for (const auto& node : *list) {
-            const std::string at = path_ + key + "[" + std::to_string(i++) + "].";
-            if (!node.is_table()) fail(at, "must be a table");
-            Table row(*node.as_table(), at);
-            use(row);
-        }
-    }
-
-  private:
-    const toml::table& table_;
-    std::string path_;
-    std::set<std::string> asked_;
-};
-
-template <class T>
-T one_of(const std::string& key, const std::string& word, const std::map<std::string, T>& words) {
-    auto it = words.find(word);
-    if (it != words.end()) return it->second;
-    std::string all;
-    for (const auto& [name, v] : words) all += (all.empty() ? "" : ", ") + name;
-    fail(key, "must be one of " + all + ", not " + word);
-}
+using settings::fail;
+using settings::one_of;
+using settings::Table;
 
 void load_settings(Table& t, Settings& s) {
     s.zones = t.texts("zones", {"a", "b"});
@@ -164,12 +78,7 @@
 }  // namespace
 
 Experiment Experiment::load(const std::string& path) {
-    toml::table file;
-    try {
-        file = toml::parse_file(path);
-    } catch (const toml::parse_error& err) {
-        throw std::runtime_error(path + ": " + std::string(err.description()));
-    }
+    const toml::table file = settings::parse_file(path);
     Experiment e;
     Table t(file, "");
     e.name = t.text("name", path);
--- /dev/null
+++ b/src/policy/file.cpp
@@ -0,0 +1,124 @@
+// The operators' file. Its form is in docs/operations.md.
+
+#include <algorithm>
+
+#include "policy/policy.hpp"
+#include "settings/settings.hpp"
+#include "settings/table.hpp"
+
+namespace cottonway::policy {
+
+namespace {
+
+using settings::fail;
+using settings::one_of;
+using settings::Table;
+
+const std::map<std::string, Tier> kTiers{{name_of(Tier::Live), Tier::Live},
+                                         {name_of(Tier::Urgent), Tier::Urgent},
+                                         {name_of(Tier::Batch), Tier::Batch},
+                                         {name_of(Tier::Leftover), Tier::Leftover}};
+const std::map<std::string, Survive> kSurvive{{name_of(Survive::Nothing), Survive::Nothing},
+                                              {name_of(Survive::Machine), Survive::Machine},
+                                              {name_of(Survive::Zone), Survive::Zone}};
+
+double in_seconds(Micros m) {
+    return static_cast<double>(m) / 1e6;
+}
+
+/// Checks names of teams and zones, if it is known which there are.
+class Names {
+  public:
+    explicit Names(const Settings* settings) : settings_(settings) {}
+    void team(const std::string& key, const std::string& team) const {
+        if (!settings_ || team.empty()) return;
+        const auto& all = settings_->teams;
+        if (std::none_of(all.begin(), all.end(), [&](const Team& t) { return t.name == team; }))
+            fail(key, "there is no team " + team);
+    }
+    void zones(const std::string& key, const std::vector<std::string>& zones) const {
+        if (!settings_ || settings_->zones.empty()) return;
+        const auto& all = settings_->zones;
+        for (const auto& z : zones)
+            if (std::find(all.begin(), all.end(), z) == all.end()) fail(key, "there is no zone " + z);
+    }
+    void enough(const std::string& key, const ZoneRule& rule) const {
+        if (!settings_ || settings_->zones.empty()) return;
+        const std::size_t there = rule.allowed.empty() ? settings_->zones.size() : rule.allowed.size();
+        if (static_cast<std::size_t>(rule.least_zones) > there)
+            fail(key, fmt::format("{} are asked for, there are {}", rule.least_zones, there));
+    }
+
+  private:
+    const Settings* settings_;
+};
+
+Scope scope(Table& x, const Names& names) {
+    Scope s{x.text("team", ""), x.text("class", "")};
+    names.team(x.path("team"), s.team);
+    return s;
+}
+
+/// What a rule is about has to be said: one that says nothing does nothing, by mistake.
+void needed(const Table& x, const char* key) {
+    if (!x.has(key)) fail(x.path(key), "is missing");
+}
+
+ZoneRule zone_rule(Table& x, const Names& names) {
+    ZoneRule r;
+    r.scope = scope(x, names);
+    r.allowed = x.texts("allowed", {});
+    names.zones(x.path("allowed"), r.allowed);
+    r.preferred = x.texts("preferred", {});
+    names.zones(x.path("preferred"), r.preferred);
+    r.least_zones = x.count("least_zones", r.least_zones, 64, 1);
+    r.most_share = x.number("most_share", r.most_share, 0, 1);
+    r.survive = one_of(x.path("survive"), x.text("survive", name_of(r.survive)), kSurvive);
+    r.strict = x.flag("strict");
+    r.rebalance = x.flag("rebalance");
+    names.enough(x.path("least_zones"), r);
+    return r;
+}
+
+}  // namespace
+
+Policy load(const std::string& path, const Settings* settings) {
+    const Names names(settings);
+    const toml::table file = settings::parse_file(path);
+    Policy p;
+    {
+        Table t(file, "");
+        if (!t.has("revision")) fail("revision", "is missing; raise it with every change");
+        p.revision = static_cast<std::uint64_t>(t.count("revision", 0, 2'000'000'000, 1));
+        t.rows("tiers", [&](Table& x) {
+            needed(x, "tier");
+            p.tiers.push_back({scope(x, names), one_of(x.path("tier"), x.text("tier", ""), kTiers)});
+        });
+        t.table("priority", [&](Table& x) {
+            p.priority.floor = x.number("floor", p.priority.floor, 0, 0.5);
+            p.priority.begin_within = x.seconds("begin_within_s", in_seconds(p.priority.begin_within));
+            p.priority.reserve = x.number("reserve", p.priority.reserve, 0, 0.5);
+        });
+        t.rows("zones", [&](Table& x) { p.zones.push_back(zone_rule(x, names)); });
+        t.rows("moves", [&](Table& x) {
+            needed(x, "movable");
+            p.moves.push_back({scope(x, names), x.flag("movable")});
+        });
+        t.table("budgets", [&](Table& x) {
+            Budgets& b = p.budgets;
+            b.moves_per_minute = x.count("moves_per_minute", b.moves_per_minute);
+            b.moves_per_placement = x.count("moves_per_placement", b.moves_per_placement);
+            b.service_pause = x.seconds("service_pause_s", in_seconds(b.service_pause));
+            b.settle = x.seconds("settle_s", in_seconds(b.settle));
+        });
+        t.table("cards", [&](Table& x) {
+            p.cards.pack = x.flag("pack");
+            p.cards.make_room = x.flag("make_room");
+            p.cards.after = x.seconds("after_s", in_seconds(p.cards.after));
+        });
+    }
+    if (const std::string problem = problem_of(p); !problem.empty()) throw std::runtime_error(problem);
+    return p;
+}
+
+}  // namespace cottonway::policy
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -9,9 +9,12 @@
 #include <string>
 #include <vector>
 
-#include "settings/settings.hpp"
 #include "wire/wire.hpp"
 
+namespace cottonway {
+struct Settings;
+}
+
 namespace cottonway::policy {
 
 /// What a job is to the operators. A lower tier never delays a higher one; each batch tier has a floor.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,27 +1,19 @@
 #include "settings/settings.hpp"
 
-#include <toml++/toml.h>
-
 #include <asio/ip/address_v4.hpp>
 #include <cmath>
+#include <filesystem>
 #include <functional>
-#include <map>
 #include <stdexcept>
 
+#include "settings/table.hpp"
+
 namespace cottonway {
 namespace {
 
-[[noreturn]] void fail(const std::string& key, const std::string& reason) {
-    throw std::runtime_error(key + ": " + reason);
-}
-
-toml::table parse_file(const std::string& path) {
-    try {
-        return toml::parse_file(path);
-    } catch (const toml::parse_error& e) {
-        fail(path, std::string(e.description()));
-    }
-}
+using settings::fail;
+using settings::parse_file;
+using settings::Table;
 
 std::string text(const toml::table& t, const std::string& key) {
     auto v = t.at_path(key).value<std::string>();
@@ -73,45 +65,34 @@
     return static_cast<Milli>(std::llround(number(t, key, 0, 1e9) * 1000));
 }
 
-void load_operators(const std::string& path, OperatorSettings& out) {
-    struct Key {
-        double low, high;
-        std::function<void(double)> set;
-    };
-    auto seconds = [](Micros& to) {
-        return [&to](double v) { to = static_cast<Micros>(std::llround(v * 1e6)); };
-    };
-    auto plain = [](double& to) { return [&to](double v) { to = v; }; };
-    auto& p = out.placement;
-    const std::map<std::string, Key> keys{
-        {"placement.cores_weight", {-1000, 1000, plain(p.cores_weight)}},
-        {"placement.ram_weight", {-1000, 1000, plain(p.ram_weight)}},
-        {"placement.free_ram_weight", {-1000, 1000, plain(p.free_ram_weight)}},
-        {"placement.size_weight", {-1000, 1000, plain(p.size_weight)}},
-        {"placement.tasks_weight", {-1000, 1000, plain(p.tasks_weight)}},
-        {"placement.image_weight", {-1000, 1000, plain(p.image_weight)}},
-        {"placement.jitter", {0, 100, plain(p.jitter)}},
-        {"placement.cores_threshold", {0, 1, plain(p.cores_threshold)}},
-        {"placement.ram_threshold", {0, 1, plain(p.ram_threshold)}},
-        {"leadership.live_ttl_s", {0.5, 60, seconds(out.live_ttl)}},
-        {"history.apart", {0, 1, [&out](double v) { out.history_apart = v > 0; }}},
-        {"fleet.idle_return_s", {1, 86400, seconds(out.idle_return)}},
-    };
-    toml::table t = parse_file(path);
-    for (const auto& [section, node] : t) {
-        const std::string name(section.str());
-        if (name == "log_level") {
-            out.log_level = text(t, name);
-            continue;
-        }
-        if (!node.is_table()) fail(name, "unknown key");
-        for (const auto& [key, value] : *node.as_table()) {
-            (void)value;
-            const std::string full = name + "." + std::string(key.str());
-            auto it = keys.find(full);
-            if (it == keys.end()) fail(full, "unknown key");
-            it->second.set(number(t, full, it->second.low, it->second.high));
-        }
+void load_operators(const std::string& path, Settings& s) {
+    OperatorSettings& out = s.ops;
+    const toml::table file = parse_file(path);
+    Table t(file, "");
+    out.log_level = t.text("log_level", "");
+    t.table("placement", [&](Table& x) {
+        auto& p = out.placement;
+        auto weight = [&](const char* key, double& to) { to = x.number(key, to, -1000, 1000); };
+        weight("cores_weight", p.cores_weight);
+        weight("ram_weight", p.ram_weight);
+        weight("free_ram_weight", p.free_ram_weight);
+        weight("size_weight", p.size_weight);
+        weight("tasks_weight", p.tasks_weight);
+        weight("image_weight", p.image_weight);
+        p.jitter = x.number("jitter", p.jitter, 0, 100);
+        p.cores_threshold = x.number("cores_threshold", p.cores_threshold, 0, 1);
+        p.ram_threshold = x.number("ram_threshold", p.ram_threshold, 0, 1);
+    });
+    auto seconds = [](Micros m) { return static_cast<double>(m) / 1e6; };
+    t.table("leadership",
+            [&](Table& x) { out.live_ttl = x.seconds("live_ttl_s", seconds(out.live_ttl), 0.5, 60); });
+    t.table("history", [&](Table& x) { out.history_apart = x.number("apart", 0, 0, 1) > 0; });
+    t.table("fleet", [&](Table& x) {
+        out.idle_return = x.seconds("idle_return_s", seconds(out.idle_return), 1, 86400);
+    });
+    if (const std::string named = t.text("policy", ""); !named.empty()) {
+        out.policy_file = (std::filesystem::path(path).parent_path() / named).string();
+        out.policy = policy::load(out.policy_file, &s);
     }
 }
 
@@ -195,7 +176,7 @@
     s.sockets = static_cast<std::size_t>(number(t, "deployment.limits.sockets", 64, 1e6));
     if (t.at_path("deployment.limits.cpu_share"))
         s.cpu_share = number(t, "deployment.limits.cpu_share", 0.001, 1024);
-    if (!operators_path.empty()) load_operators(operators_path, s.ops);
+    if (!operators_path.empty()) load_operators(operators_path, s);
     return s;
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "policy/policy.hpp"
 #include "wire/units.hpp"
 
 namespace cottonway {
@@ -56,6 +58,9 @@
     /// Whether this node announces format 3, after which live jobs move out of history (docs/history.md).
     bool history_apart = false;
     std::string log_level;
+    /// The file that `policy` names, and what it says; nothing if it names none.
+    std::string policy_file;
+    std::optional<policy::Policy> policy;
 };
 
 struct Settings {
