--- a/src/planning/view.hpp
+++ b/src/planning/view.hpp
@@ -55,6 +55,7 @@
     Micros age = 0;      // since it began to count (its submission or the end of what it needed)
     std::map<std::string, int> zones;  // its tasks by zone, in doubt and stopping ones included
     Micros since_moved = 0;            // since a task of it was moved last; a long time if never
+    int moved_lately = 0;              // moves of its tasks to mend balance within the last ten minutes
 };
 
 struct View {
