--- a/src/planning/zones.cpp
+++ b/src/planning/zones.cpp
@@ -212,7 +212,7 @@
         const JobView& job = view_.jobs[j];
         if (job.cancelled || job.idle > 0 || job.since_moved < pause_of(job, policy_.budgets)) return false;
         const auto& tasks = tasks_of_[j];
-        if (static_cast<int>(tasks.size()) != job.spec.tasks || job.bound != job.spec.tasks) return false;
+        if (static_cast<int>(tasks.size()) != job.spec.tasks) return false;
         return std::all_of(tasks.begin(), tasks.end(), [this](std::size_t t) {
             const TaskView& task = view_.tasks[t];
             return task.running && !task.stopping && !task.moving;
@@ -296,7 +296,7 @@
         }
         if (!leaves) return std::nullopt;
         const JobSpec& spec = view_.jobs[j].spec;
-        const auto to_machine = destination(spec, to, asked.apart() ? &on : nullptr, leaves->machine);
+        const auto to_machine = destination(spec, to, asked.apart() ? &on : nullptr);
         if (!to_machine) return std::nullopt;
         room_[*to_machine] -= spec.need;
         return Move{spec.ref,
@@ -310,15 +310,14 @@
     /// One with the image ready, else fetched, else where the fewest other fetches share the rate; then the
     /// one with the least room, as placement packs.
     std::optional<std::size_t> destination(const JobSpec& job, const std::string& zone,
-                                           const std::map<std::size_t, int>* keep_off,
-                                           std::size_t from) const {
+                                           const std::map<std::size_t, int>* keep_off) const {
         using Key = std::tuple<int, int, Milli, std::uint64_t, std::string_view>;
         std::optional<std::pair<Key, std::size_t>> best;
         for (const auto& [kind, machines] : open_) {
             if (std::get<0>(kind) != zone || !may_use(job, zone, std::get<1>(kind), std::get<2>(kind)))
                 continue;
             for (const std::size_t i : machines) {
-                if (i == from || !job.need.fits(room_[i]) || (keep_off && keep_off->count(i))) continue;
+                if (!job.need.fits(room_[i]) || (keep_off && keep_off->count(i))) continue;
                 const MachineView& m = view_.machines[i];
                 int fetches = 0, image = 2;
                 for (const auto& held : m.images) {
@@ -412,9 +411,7 @@
 Zones ZoneWatch::troubled(Micros now, Micros settle) const {
     Zones zones;
     for (const auto& [zone, z] : zones_) {
-        const auto lost =
-            std::count_if(z.lost.begin(), z.lost.end(), [now](Micros at) { return now - at <= kLately; });
-        const int doubled = std::clamp(static_cast<int>(lost) - 1, 0, kMostDoubled);
+        const int doubled = std::clamp(static_cast<int>(z.lost.size()) - 1, 0, kMostDoubled);
         if (!z.stands || now - z.since < settle * (Micros{1} << doubled)) zones.push_back(zone);
     }
     return zones;
--- a/tests/zones_test.cpp
+++ b/tests/zones_test.cpp
@@ -151,6 +151,9 @@
     Counts there;
     EXPECT_TRUE(fill(service(9), rule, there, kAll));
     EXPECT_EQ(there, (Counts{{"a", 3}, {"b", 3}, {"c", 3}}));
+    rule.most_share = 0.07;
+    EXPECT_EQ(choose_zones(service(100), &rule, {}, kAll, kAll).most_in("a"), 7)
+        << "whatever 0.07 is in binary";
     rule.most_share = 1;
     rule.least_zones = 3;
     there.clear();
@@ -185,6 +188,13 @@
     EXPECT_EQ(open(relaxed, there), Zones{"a"});
     EXPECT_EQ(relaxed.most_in("a"), 3) << "no further than need be";
     EXPECT_FALSE(relaxed.as_asked);
+    rule = {};
+    rule.least_zones = 2;
+    rule.strict = true;
+    const Counts one{{"a", 1}};
+    EXPECT_EQ(open(choose_zones(service(3), &rule, one, {"a"}, kAll), one), Zones{"a"})
+        << "the last may go elsewhere";
+    EXPECT_TRUE(open(choose_zones(service(2), &rule, one, {"a"}, kAll), one).empty());
 }
 
 TEST(ZoneChoices, TheProtocolIsNeverGivenUp) {
@@ -291,7 +301,11 @@
         {"a zone is troubled", [](Domain& x) { x.view.troubled = {"b"}; }},
         {"it was moved just now", [](Domain& x) { x.view.jobs[0].since_moved = kSecond; }},
         {"its rule does not ask for it", [](Domain& x) { x.rule().rebalance = false; }},
-        {"it is no service", [](Domain& x) { x.view.jobs[0].spec.kind = JobKind::Array; }},
+        {"it is no service",
+         [](Domain& x) {
+             x.view.jobs[0].spec.kind = JobKind::Array;
+             x.rule().allowed = {"c"};
+         }},
         {"no budget", [](Domain& x) { x.policy.budgets.moves_per_minute = 0; }},
         {"no machine to bind to",
          [](Domain& x) { x.view.machines[4].usable = x.view.machines[5].usable = false; }},
@@ -366,6 +380,22 @@
     EXPECT_TRUE(d.look().empty());
 }
 
+TEST(Rebalancing, OfReplicasThatShareAMachineOneLeavesTheZoneFirst) {
+    Domain d;
+    for (const char* name : {"a0", "a1", "b0"}) d.machine(name, std::string(1, name[0]));
+    d.rule().least_zones = 2;
+    d.rule().survive = Survive::Machine;
+    d.add(service(3), {"a1", "a0", "a0"});
+    EXPECT_EQ(d.look().at(0).from, "a0");
+}
+
+TEST(Rebalancing, WhatIsInALostZoneIsNotAskedToLeaveIt) {
+    ZoneRule rule;
+    rule.most_share = 0.5;
+    EXPECT_EQ(imbalance(service(6), &rule, {{"c", 6}}, {"a", "b"}, kAll), 0);
+    EXPECT_GT(imbalance(service(6), &rule, {{"c", 6}}, kAll, kAll), 0);
+}
+
 TEST(Rebalancing, AServiceThatIsMovedAgainAndAgainPausesForLonger) {
     policy::Budgets budgets;
     JobView job;
