Controllers share one policy: the highest revision is stored, and takes effect without a restart

Nodes that decide by files of their own differ for as long as a change is brought out. The record c/policy is what all go by; a node's file is only proposed, on the record's mark. The command line checks, shows and compares policies, and tells why a job waits.

--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "net/http_client.hpp"
+#include "policy/policy.hpp"
 
 namespace cottonway::cli {
 
@@ -74,4 +75,39 @@
     return code;
 }
 
+namespace {
+/// The entry of a controller's status; nothing, with the reason told, if there is none.
+std::optional<Value> policy_of(const Endpoint& to) {
+    const Answer a = ask(to, "GET", "/status", Value());
+    if (complain(to, "/status", a)) return std::nullopt;
+    const Value* found = wire::find(a.body, "policy");
+    if (found && found->is_object() && found->contains("value")) return *found;
+    std::cerr << "cottonway: " << to.host << ":" << to.port << " is of a version without policies\n";
+    return std::nullopt;
+}
+}  // namespace
+
+int policy_check(const std::string& file, const std::string& config) {
+    std::optional<Settings> settings;
+    if (!config.empty()) settings = load_settings(config, "");
+    print(policy::describe(policy::load(file, settings ? &*settings : nullptr)));
+    return 0;
+}
+
+int policy_show(const Endpoint& to) {
+    const auto entry = policy_of(to);
+    if (!entry) return 1;
+    print(*entry);
+    return 0;
+}
+
+int policy_diff(const std::string& file, const Endpoint& to) {
+    const Value ours = policy::describe(policy::load(file, nullptr));
+    const auto entry = policy_of(to);
+    if (!entry) return 1;
+    const Value changes = Value::diff(entry->at("value"), ours);
+    print(changes);
+    return changes.empty() ? 0 : 1;
+}
+
 }  // namespace cottonway::cli
--- a/src/cli/client.hpp
+++ b/src/cli/client.hpp
@@ -26,4 +26,12 @@
 /// Prints a job, or a list of them.
 int show(const Endpoint& to, const std::vector<std::string>& refs);
 
+/// Checks the operators' policy and prints it as it was understood; against the platform's settings unless
+/// `config` is empty. Throws std::runtime_error with one line that names the key and the reason.
+int policy_check(const std::string& file, const std::string& config);
+/// Prints the policy that a controller goes by, and how the file of its node stands to it.
+int policy_show(const Endpoint& to);
+/// Prints what a file would change, as a JSON patch. Returns 0 if nothing, 1 if something or no answer.
+int policy_diff(const std::string& file, const Endpoint& to);
+
 }  // namespace cottonway::cli
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -32,6 +32,7 @@
       presence_(host, store_, settings_, replica_),
       leadership_(host, store_, settings_, feed_, replica_, presence_),
       history_(host, store_, settings_, feed_, replica_, leadership_),
+      policies_(host, store_, settings_, feed_, replica_),
       holdings_(*this, feed_, replica_, presence_, leases_, history_),
       leases_(host, store_, settings_, feed_, replica_, holdings_, leadership_, fleet_, peers_),
       peers_(host, settings_, feed_, replica_, holdings_, leadership_, fleet_),
@@ -73,6 +74,7 @@
     sharing_.first_shares();
     leadership_.store_types();
     announce_format();
+    policies_.tick();
     replica_.jobs.pipelines().weigh();
     replica_.settle();
     history_.tick();
@@ -164,6 +166,13 @@
     if (replica_.formats.common(format::kPipelines)) store_.use_pieces();
 }
 
+void Controller::on_policy() {
+    policies_.changed();
+    for (const auto& [name, owner] : holdings_.all())
+        if (owner) owner->on_policy();
+    wake();
+}
+
 /// Once, for all processes of this node that are still to come.
 void Controller::announce_format() {
     const std::uint64_t reads = settings_.ops.history_apart ? format::kHistory : format::kPipelines;
@@ -285,6 +294,38 @@
     }
 }
 
+Value Controller::explain(const std::string& ref) const {
+    const LiveJob* live = replica_.jobs.find(ref);
+    const JobView* view = replica_.jobs.known(ref);
+    if (!live && !view) return {};
+    Value v{{"ref", ref}, {"policy", policy().revision}};
+    if (!live) {
+        v["why"] = {view->stage == Stage::Done        ? "it is done"
+                    : view->stage == Stage::Cancelled ? "it is cancelled"
+                                                      : "it is over, or about to be heard of again"};
+        return v;
+    }
+    const Held* domain = replica_.members.domain(live->domain);
+    v["domain"] = live->domain;
+    v["holder"] = domain ? domain->holder : "";
+    const Owner* owner = holdings_.find(live->domain);
+    if (!owner || !owner->active()) {
+        v["why"] = {owner ? "its domain is being taken over here"
+                    : domain && !domain->holder.empty()
+                        ? "its domain is held by " + domain->holder + ", which knows more"
+                        : "nobody holds its domain yet"};
+        return v;
+    }
+    const Value known = owner->explain(ref);
+    if (known.is_null()) {
+        v["why"] = {"its holder has not taken it in yet"};
+        return v;
+    }
+    v.update(known);
+    if (!live->open) v["waits_for"] = replica_.jobs.pipelines().waits_for(ref);
+    return v;
+}
+
 Value Controller::status() {
     const Members& members = replica_.members;
     Value v{{"node", settings_.node},
@@ -312,6 +353,7 @@
     for (const auto& ref : pipelines.waiting()) v["waiting"][ref] = pipelines.waits_for(ref);
     v["format"] = {{"all_new", replica_.formats.common(format::kPipelines)},
                    {"reads", replica_.formats.all()}};
+    v["policy"] = policies_.status();
     v["fleet"] = fleet_.status();
     v["changes_sent"] = store_.sent();
     return v;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -5,10 +5,12 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "core/barter.hpp"
 #include "core/fleet.hpp"
 #include "core/history.hpp"
+#include "core/policies.hpp"
 #include "core/relays.hpp"
 #include "core/users.hpp"
 
@@ -25,6 +27,10 @@
     /// A packed message of another controller; answered with "" if there is nothing to say.
     void handle_peer(const std::string& bytes, std::function<void(std::string)> respond);
     Value status();
+    /// Why a job waits, or who would know; null if it is not known to be there.
+    Value explain(const std::string& ref) const;
+    /// The policy of this node's file, which has changed while we run.
+    void set_policy_file(policy::Policy file) { policies_.set_file(std::move(file)); }
 
     const Replica& replica() const { return replica_; }
     const std::map<std::string, std::unique_ptr<Owner>>& owners() const { return holdings_.all(); }
@@ -34,6 +40,7 @@
     Host& host() override { return host_; }
     Store& store() override { return store_; }
     const Settings& settings() override { return settings_; }
+    const policy::Policy& policy() const override { return replica_.policies.in_force(); }
     const MachineType* machine_type(const std::string& name) override { return replica_.types.find(name); }
     void ousted(const std::string& domain) override { holdings_.give_up(domain); }
     void wake() override;
@@ -64,6 +71,7 @@
     void on_machine_left(const std::string& machine) override;
     void on_domain(const std::string& name) override { holdings_.on_domain(name); }
     void on_format() override;
+    void on_policy() override;
     void on_news() override { wake(); }
 
   private:
@@ -81,6 +89,7 @@
     Presence presence_;
     Leadership leadership_;
     History history_;
+    Policies policies_;
     Holdings holdings_;
     Leases leases_;
     Peers peers_;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -185,9 +185,11 @@
                             {"silent_ms", silent_for(*m) / kMillisecond},
                             {"relayed", m->relayed},
                             {"retired", m->retired}});
-    return {{"domain", domain_},    {"token", mark_},           {"active", active_},
-            {"jobs", jobs_.size()}, {"tasks_waiting", waiting}, {"tasks_bound", running},
-            {"machines", machines}, {"start", startup_.value()}};
+    return {{"domain", domain_},           {"token", mark_},
+            {"active", active_},           {"jobs", jobs_.size()},
+            {"tasks_waiting", waiting},    {"tasks_bound", running},
+            {"machines", machines},        {"start", startup_.value()},
+            {"waiting", waiting_by_tier()}};
 }
 
 }  // namespace cottonway
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -224,6 +224,8 @@
     virtual Host& host() = 0;
     virtual Store& store() = 0;
     virtual const Settings& settings() = 0;
+    /// The one in force; it may change at any time.
+    virtual const policy::Policy& policy() const = 0;
     virtual const MachineType* machine_type(const std::string& name) = 0;
     virtual void ousted(const std::string& domain) = 0;
     virtual void wake() = 0;
@@ -269,6 +271,8 @@
                std::function<void(const Admission&)> done);
     /// The job stands differently among those that need one another.
     void reconsider(const std::string& ref);
+    /// Another policy is in force: plans again.
+    void on_policy() { plan_due_ = true; }
 
     /// The orders to answer a report with, or nothing if it must not be answered.
     struct Answer {
@@ -308,11 +312,19 @@
     std::vector<std::string> to_renounce(std::size_t peer) const;
     void renounced(std::size_t peer, const std::string& machine, Promise promise);
     Value status() const;
+    /// Why a job of the domain waits; null if it is none.
+    Value explain(const std::string& ref) const;
 
     bool allowed(const Job& job, const Machine& m) const;
     bool quota_allows(const Job& job, int tasks) const;
 
   private:
+    Value place_in_queue(const Job& job) const;
+    Value room_by_zone(const Job& job) const;
+    Value cards_for(const Job& job) const;
+    std::vector<std::string> reasons(const Job& job, const Value& zones) const;
+    Value waiting_by_tier() const;
+
     std::uint64_t token(const Machine& m) const { return std::max<std::uint64_t>(mark_, m.token); }
     bool usable(const Machine& m) const;
     bool lease_over(const Machine& m) const;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -1,9 +1,11 @@
 #include "net/service.hpp"
 
 #include <chrono>
+#include <filesystem>
 #include <memory>
 #include <utility>
 
+#include "core/controller.hpp"
 #include "log/log.hpp"
 
 namespace cottonway::net {
@@ -14,6 +16,41 @@
 constexpr std::size_t kWorkerConnections = 2;
 constexpr std::size_t kPeerConnections = 12;
 constexpr Micros kCatchUp = 300 * kMillisecond;  // to read what waited while the process stood still
+constexpr Micros kPolicyEvery = 5 * kSecond;     // looks at the policy's file
+
+/// Passes the operators' policy on to the controller whenever its file has changed.
+class PolicyFile {
+  public:
+    PolicyFile(AsioHost& host, Controller& controller, const Settings& settings)
+        : host_(host), controller_(controller), settings_(settings), seen_(changed_at()) {
+        if (!settings.ops.policy_file.empty()) wait();
+    }
+
+  private:
+    std::filesystem::file_time_type changed_at() const {
+        std::error_code none;
+        return std::filesystem::last_write_time(settings_.ops.policy_file, none);
+    }
+    void wait() {
+        host_.after(kPolicyEvery, [this] {
+            look();
+            wait();
+        });
+    }
+    void look() {
+        if (const auto at = changed_at(); at == std::exchange(seen_, at)) return;
+        try {
+            controller_.set_policy_file(policy::load(settings_.ops.policy_file, &settings_));
+        } catch (const std::exception& e) {
+            spdlog::error("policy: {}: {}; the one read before is kept", settings_.ops.policy_file, e.what());
+        }
+    }
+
+    AsioHost& host_;
+    Controller& controller_;
+    const Settings& settings_;
+    std::filesystem::file_time_type seen_;
+};
 }  // namespace
 
 AsioHost::AsioHost(asio::io_context& io, const Settings& settings)
@@ -149,12 +186,19 @@
                 });
             });
         }
+        static const std::string explain = "/explain/";
+        if (request.path.compare(0, explain.size(), explain) == 0) {
+            if (request.method != "GET") return respond({405, "", "text/plain", 0});
+            const Value told = controller.explain(request.path.substr(explain.size()));
+            return respond({told.is_null() ? 404 : 200, wire::encode(told), "application/msgpack", 0});
+        }
         if (request.path != "/status") return respond({404, "", "text/plain", 0});
         if (request.method != "GET") return respond({405, "", "text/plain", 0});
         Value v = controller.status();
         v["metrics"] = host.metrics().value();
         respond({200, wire::encode(v), "application/msgpack", 0});
     });
+    PolicyFile policy_file(host, controller, settings);
     clients.start();
     cluster.start();
     controller.start();
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -131,6 +131,9 @@
 Value to_value(const Policy& policy);
 std::optional<Policy> from_value(const Value& value);
 
+/// As operators write it, with the keys of their file; all settings, those left at their defaults as well.
+Value describe(const Policy& policy);
+
 /// Operators' file (TOML, checked as a whole). Throws std::runtime_error with one line that names the key and
 /// the reason; `settings` may be nullptr, then teams and zones are not checked against them.
 Policy load(const std::string& path, const Settings* settings);
--- a/src/recovery/verify.cpp
+++ b/src/recovery/verify.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "policy/policy.hpp"
 #include "replica/formats.hpp"
 #include "state/pieces.hpp"
 
@@ -74,6 +75,8 @@
         ++kinds_["nodes alive"];
     } else if (key == keys::history) {
         apart_ = wire::flag(*value, "apart").value_or(false);
+    } else if (key == keys::policy) {
+        if (!policy::from_value(*value)) damage(key, "does not parse: the default policy is in force");
     } else if (key == keys::types) {
         if (!wire::parse_types(*value)) damage(key, "does not parse: controllers wait for the cloud instead");
     } else if (key != keys::leader) {
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -19,6 +19,7 @@
     : formats(settings),
       blocks(listener),
       shares(settings.teams),
+      policies(settings),
       jobs(settings),
       host_(host),
       store_(store),
@@ -67,6 +68,8 @@
         listener_.on_news();
     } else if (starts_with(key, keys::format)) {
         if (value && formats.take(rest(keys::format), *value)) listener_.on_format();
+    } else if (key == keys::policy) {
+        if (policies.take(value, mark)) listener_.on_policy();
     } else if (key == keys::history) {
         if (value) take_history(*value, mark);
     } else if (key == keys::types) {
@@ -113,6 +116,7 @@
         for (const auto& [part, rest] : job.parts)
             if (const auto key = keys::part + ref + "/" + std::to_string(part); !seen.count(key))
                 missing.push_back(key);
+    if (policies.mark() > 0 && !seen.count(keys::policy)) missing.push_back(keys::policy);
     for (const auto& key : missing) take(key, nullptr, ledger);
     jobs.reread([&](const std::string& key) { return seen.count(key) > 0; }, !history_apart());
     for (const auto& p : settings_.peers) members.missed(p.name, host_.now());
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -12,6 +12,7 @@
 #include "replica/formats.hpp"
 #include "replica/jobs.hpp"
 #include "replica/members.hpp"
+#include "replica/policies.hpp"
 #include "replica/shares.hpp"
 
 namespace cottonway {
@@ -27,6 +28,8 @@
         virtual void on_standing(const std::string& ref) = 0;
         virtual void on_domain(const std::string& name) = 0;
         virtual void on_format() = 0;
+        /// Another policy is in force.
+        virtual void on_policy() = 0;
         /// Something that planning may rest on.
         virtual void on_news() = 0;
     };
@@ -61,6 +64,7 @@
     FormatBook formats;
     BlockBook blocks;
     ShareBook shares;
+    PolicyBook policies;
     JobBook jobs;
 
     /// How far the records of live jobs have been moved out of history: see keys::history.
--- a/tools/cottonway.cpp
+++ b/tools/cottonway.cpp
@@ -34,6 +34,19 @@
     auto* cancel = client("cancel", "cancel a job");
     cancel->add_option("ref", ref, "the job's id")->required();
     auto* status = client("status", "status and metrics of a controller (its cluster address)");
+    auto* explain = client("explain", "tell why a job waits (asks a controller's cluster address)");
+    explain->add_option("ref", ref, "the job's id")->required();
+    auto* policies = app.add_subcommand("policy", "the operators' policy: check a file, or ask a controller");
+    policies->require_subcommand(1);
+    auto* policy_check = policies->add_subcommand("check", "check a file, and print it as it was understood");
+    policy_check->add_option("file", file, "the policy (TOML)")->required()->check(CLI::ExistingFile);
+    policy_check->add_option("--config", config, "the platform's settings file, for its teams and zones");
+    auto* policy_show = policies->add_subcommand("show", "show the policy that a controller goes by");
+    auto* policy_diff = policies->add_subcommand(
+        "diff", "show what a file would change; exit code 0: nothing, 1: something, or no answer");
+    policy_diff->add_option("file", file, "the policy (TOML)")->required()->check(CLI::ExistingFile);
+    for (auto* sub : {policy_show, policy_diff})
+        sub->add_option("--node", node, "cluster address of a controller")->capture_default_str();
     bool json = false;
     auto* verify = app.add_subcommand(
         "verify", "read the state service and report what is damaged; exit code 0: nothing, 1: something");
@@ -51,6 +64,10 @@
         if (cancel->parsed())
             return cli::request(parse_endpoint(node), "POST", "/v1/jobs/" + ref + "/abort", Value::object());
         if (status->parsed()) return cli::request(parse_endpoint(node), "GET", "/status", {});
+        if (explain->parsed()) return cli::request(parse_endpoint(node), "GET", "/explain/" + ref, {});
+        if (policy_check->parsed()) return cli::policy_check(file, config);
+        if (policy_show->parsed()) return cli::policy_show(parse_endpoint(node));
+        if (policy_diff->parsed()) return cli::policy_diff(file, parse_endpoint(node));
         if (verify->parsed()) {
             start_logging("verify", "error");
             return cli::verify(load_settings(config, ""), json);
