--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -28,7 +28,7 @@
         return std::tuple(j.rank, !j.within_guarantee, j.due_ms, j.since_ms, j.serial);
     };
     std::size_t all = 0, before = 0, before_of_team = 0;
-    for (const auto& [ref, other] : jobs_) {
+    for (const auto& [ref, other] : ledger_.jobs) {
         if (other->stage != Stage::Queued || !other->open || other->idle == 0) continue;
         ++all;
         if (!(key(*other) < key(job))) continue;
@@ -53,8 +53,8 @@
         return zones[name];
     };
     auto more = [](Value& n) { n = n.get<int>() + 1; };
-    for (const auto& [name, m] : machines_) {
-        if (!allowed(job, *m)) continue;
+    for (const auto& [name, m] : ledger_.machines) {
+        if (!Planner::allowed(job, *m)) continue;
         Value& z = zone(m->zone);
         more(z["machines"]);
         if (!usable(*m)) continue;
@@ -68,8 +68,8 @@
 /// Cards that are free on machines that it may use, in all and most on one.
 Value Owner::cards_for(const Job& job) const {
     Milli free = 0, most = 0;
-    for (const auto& [name, m] : machines_) {
-        if (!usable(*m) || !allowed(job, *m)) continue;
+    for (const auto& [name, m] : ledger_.machines) {
+        if (!usable(*m) || !Planner::allowed(job, *m)) continue;
         const Milli here = std::max<Milli>(m->type->size.cards - m->booked.cards, 0);
         free += here;
         most = std::max(most, here);
@@ -91,7 +91,7 @@
         why.push_back("it fails everywhere: one task is tried at a time, the next in " +
                       std::to_string(std::max<Micros>(job.try_after - now, 0) / kMillisecond) + " ms");
     const int at_once = job.spec.kind == JobKind::Gang ? job.spec.tasks : 1;
-    if (!quota_allows(job, at_once)) why.push_back("its team has used up its limit here");
+    if (!planner_.quota_allows(job, at_once)) why.push_back("its team has used up its limit here");
     int machines = 0, usable_ones = 0, with_room = 0, zones_open = 0;
     for (const auto& [name, z] : zones.items()) {
         machines += z["machines"].get<int>();
@@ -110,7 +110,7 @@
     else if (job.spec.kind == JobKind::Gang && with_room < job.spec.tasks)
         why.push_back("a gang starts as a whole, and there may not be room for all of it");
     if (job.leftover()) why.push_back("it takes what other work leaves over, in turns");
-    if (holds_out(job)) why.push_back("it waits for a machine that has its image");
+    if (planner_.holds_out(job)) why.push_back("it waits for a machine that has its image");
     const auto failing = std::count_if(job.slots.begin(), job.slots.end(), [&](const Slot& s) {
         return s.state == SlotState::Idle && s.retry_at > now;
     });
@@ -120,11 +120,10 @@
 }
 
 Value Owner::explain(const std::string& ref) const {
-    auto it = jobs_.find(ref);
-    if (it == jobs_.end()) return {};
-    const Job& job = *it->second;
+    const Job* found = ledger_.job(ref);
+    if (!found) return {};
+    const Job& job = *found;
     const Micros now = context_.host().now();
-    const auto used = usage_.find(job.spec.team);
     Value v{{"domain", domain_},
             {"team", job.spec.team},
             {"class", job.spec.job_class},
@@ -138,7 +137,7 @@
         v["waiting_ms"] = std::max<Micros>(now - job.waiting_since, 0) / kMillisecond;
     v["queue"] = place_in_queue(job);
     v["limit"] = {{"here", resources_value(context_.share(domain_, job.spec.team))},
-                  {"used", resources_value(used == usage_.end() ? Resources{} : used->second)}};
+                  {"used", resources_value(ledger_.used(job.spec.team))}};
     v["zones"] = room_by_zone(job);
     if (job.spec.need.cards > 0) v["cards"] = cards_for(job);
     v["why"] = reasons(job, v["zones"]);
@@ -148,7 +147,7 @@
 /// Jobs and tasks that wait, by tier.
 Value Owner::waiting_by_tier() const {
     std::map<policy::Tier, std::pair<int, int>> sums;
-    for (const auto& [ref, job] : jobs_) {
+    for (const auto& [ref, job] : ledger_.jobs) {
         if (job->stage != Stage::Queued || !job->open || job->idle == 0) continue;
         auto& sum = sums[context_.policy().tier(job->spec)];
         ++sum.first;
