Placement asks for zones by policy: caps, machines kept apart, and how far a rule gives way

Where a job has no rule for zones, caps, penalties and draws are what they were. With one, the next task goes where the rule wants it; if no machine there has room, it gives way as docs/policy.md says, for gangs and for room made by preemption as well.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "core/owner.hpp"
@@ -251,6 +253,10 @@
     if (idle_turn) idle_planned_at_ = now;
     const std::vector<Job*> order = queue(idle_turn);
     no_room_.clear();
+    const auto& named = context_.settings().zones;
+    std::set<std::string> zones(named.begin(), named.end());
+    for (const auto& [name, m] : ledger_.machines) zones.insert(m->zone);
+    zones_.assign(zones.begin(), zones.end());
     if (idle_turn) weigh_idle_room();
     idle_bound_ = std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [](const auto& j) {
         return j.second->rank == Rank::Low && j.second->bound > 0;
@@ -281,6 +287,86 @@
     return std::clamp(job.spec.estimate / 20, kIdleEvery, kIdleLong);
 }
 
+Planner::Zoning Planner::zoning_of(const Job& job) const {
+    Zoning z;
+    z.rule = context_.policy().zone_rule(job.spec);
+    if (!z.rule) return z;
+    std::set<std::string> standing;
+    for (const auto& [name, m] : ledger_.machines)
+        if (of_.usable(*m) && allowed(job, *m)) standing.insert(m->zone);
+    z.standing.assign(standing.begin(), standing.end());
+    return z;
+}
+
+planning::ZoneChoice Planner::choose_zones(const Job& job, const Zoning& zoning,
+                                           const std::map<std::string, int>& per_zone,
+                                           const std::vector<std::string>* room) const {
+    return planning::choose_zones(job.spec, zoning.rule, per_zone, zoning.standing, zones_, room);
+}
+
+/// The candidates in zones that take another task of it; `apart`: on machines that do, too.
+std::vector<Candidate> Planner::open_in(const planning::ZoneChoice& choice, const Job& job,
+                                        const std::map<std::string, int>& per_zone,
+                                        const std::vector<Candidate>& candidates,
+                                        const std::vector<Machine*>& machines, bool apart) {
+    std::map<std::string, double> zones;  // those open, with their penalty
+    for (const auto& [zone, most] : choice.most) {
+        auto used = per_zone.find(zone);
+        if ((used == per_zone.end() ? 0 : used->second) < most) zones[zone] = choice.penalty_in(zone);
+    }
+    std::vector<Candidate> open;
+    for (const auto& c : candidates) {
+        const Machine& m = *machines[c.index];
+        auto zone = zones.find(m.zone);
+        if (zone == zones.end() || (apart && tasks_on(m, job) >= choice.machine_most)) continue;
+        open.push_back(c);
+        open.back().penalty += zone->second;
+    }
+    return open;
+}
+
+int Planner::tasks_on(const Machine& m, const Job& job) {
+    return static_cast<int>(
+        std::count_if(m.tasks.begin(), m.tasks.end(), [&](const auto& t) { return t.job == &job; }));
+}
+
+/// Zones with a machine that a task of it fits on.
+std::vector<std::string> Planner::zones_with_room(const Job& job, const std::vector<Candidate>& candidates,
+                                                  const std::vector<Machine*>& machines, int machine_most) {
+    std::set<std::string> zones;
+    for (const auto& c : candidates) {
+        const Machine& m = *machines[c.index];
+        if (job.spec.need.fits(c.size - c.booked) &&
+            (machine_most == std::numeric_limits<int>::max() || tasks_on(m, job) < machine_most))
+            zones.insert(m.zone);
+    }
+    return {zones.begin(), zones.end()};
+}
+
+/// In the zones where its rule wants the next task; `give_way`: else where there is room for it, as far as
+/// the rule admits that.
+std::ptrdiff_t Planner::place_by_zone(const Job& job, const Zoning& zoning,
+                                      const std::map<std::string, int>& per_zone,
+                                      const std::vector<Candidate>& candidates,
+                                      const std::vector<Machine*>& machines, bool ready_only, bool give_way) {
+    const auto asked = choose_zones(job, zoning, per_zone);
+    const bool sharing_matters = asked.machine_most < std::numeric_limits<int>::max();
+    const auto chosen = place_for(job, open_in(asked, job, per_zone, candidates, machines, sharing_matters),
+                                  machines, ready_only);
+    if (chosen >= 0 || !zoning.rule || !give_way) return chosen;
+    for (const bool apart : {true, false}) {
+        if (!apart && (asked.strict || !sharing_matters)) break;
+        const auto room = zones_with_room(job, candidates, machines,
+                                          apart ? asked.machine_most : std::numeric_limits<int>::max());
+        const auto choice = choose_zones(job, zoning, per_zone, &room);
+        const auto found =
+            place_for(job, open_in(choice, job, per_zone, candidates, machines, apart && sharing_matters),
+                      machines, ready_only);
+        if (found >= 0) return found;
+    }
+    return -1;
+}
+
 /// True if nothing is left to place.
 bool Planner::plan_job(Job& job) {
     const Micros now = context_.host().now();
@@ -295,7 +381,7 @@
     if (job.leftover()) job.idle_turn = now + idle_pause(job);
 
     std::map<std::string, int> per_zone = job.zones();
-    const int zone_cap = job.zone_cap();
+    const Zoning zoning = zoning_of(job);
     // All tasks bound in one pass share an attempt number; it only tells one start from another.
     const std::int64_t attempt = job.next_attempt;
     bool all = true;
@@ -325,26 +411,15 @@
         }
         std::ptrdiff_t chosen = -1;
         for (;;) {
-            std::vector<Candidate> open;
-            for (const auto& c : candidates) {
-                const std::string& zone = machines[c.index]->zone;
-                auto used = per_zone.find(zone);
-                const int there = used == per_zone.end() ? 0 : used->second;
-                if (there >= zone_cap) continue;
-                if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
-                open.push_back(c);
-                // Replicas are kept apart beyond what the job asks for.
-                if (job.spec.kind == JobKind::Service) open.back().penalty += 25.0 * there;
-            }
-            chosen = place_for(job, open, machines, ready_only);
+            chosen = place_by_zone(job, zoning, per_zone, candidates, machines, ready_only, tried_relayed);
             if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
             // Better a machine that only others reach than none.
             auto more = candidates_for(job, true, machines);
-            if (more.empty()) break;
+            if (more.empty() && !zoning.rule) break;
             candidates.insert(candidates.end(), more.begin(), more.end());
         }
         if (chosen < 0) {
-            if (!ready_only) remember_no_room(job);
+            if (!ready_only && !zoning.rule) remember_no_room(job);
             return false;
         }
         Machine& m = *machines[static_cast<std::size_t>(chosen)];
@@ -382,17 +457,20 @@
             if (std::find(zones.begin(), zones.end(), m->zone) == zones.end()) zones.push_back(m->zone);
         std::shuffle(zones.begin(), zones.end(), context_.host().random());
     }
-    const int zone_cap = job.zone_cap();
+    const Zoning zoning = zoning_of(job);
     for (const auto& zone : zones) {
         std::vector<Candidate> trial = candidates;
         std::map<std::string, int> per_zone;
         std::vector<std::pair<int, Machine*>> chosen;
         for (std::size_t i = 0; i < job.slots.size(); ++i) {
             if (job.slots[i].state != SlotState::Idle) continue;
+            std::vector<std::string> room;
+            if (zoning.rule) room = zones_with_room(job, trial, machines, std::numeric_limits<int>::max());
+            const auto choice = choose_zones(job, zoning, per_zone, zoning.rule ? &room : nullptr);
             std::vector<Candidate> open;
             for (const auto& c : trial) {
                 const std::string& at = machines[c.index]->zone;
-                if ((zone.empty() || at == zone) && per_zone[at] < zone_cap) open.push_back(c);
+                if ((zone.empty() || at == zone) && per_zone[at] < choice.most_in(at)) open.push_back(c);
             }
             const auto pick =
                 place(open, job.spec.need, context_.settings().ops.placement, context_.host().random());
@@ -428,7 +506,9 @@
     // Work of normal rank makes room only where idle work is.
     if (job.rank > Rank::High && !reclaims && (job.rank == Rank::Low || !idle_bound_)) return;
     std::map<std::string, int> per_zone = job.zones();
-    const int zone_cap = job.zone_cap();
+    const Zoning zoning = zoning_of(job);
+    // Zones in which room may be made; where nothing can be, a rule gives way.
+    std::vector<std::string> zones = zoning.standing;
     // Where the operators want the tasks started soon, room is made for all of them.
     const auto goals = context_.settings().goals("wait", job.spec.job_class);
     // Stopping idle work costs next to nothing.
@@ -441,13 +521,15 @@
         Machine* best = nullptr;
         std::vector<Victim> victims;
         double loss = 0;
+        const auto choice = choose_zones(job, zoning, per_zone, zoning.rule ? &zones : nullptr);
         for (auto& [name, owned] : ledger_.machines) {
             Machine& m = *owned;
             if (!of_.usable(m) || !allowed(job, m)) continue;
             if (ready_only && fetch_time(job, m) > 0) continue;
             auto used = per_zone.find(m.zone);
             const int there = used == per_zone.end() ? 0 : used->second;
-            if (there >= zone_cap || (job.spec.one_zone && !per_zone.empty() && there == 0)) continue;
+            if (there >= choice.most_in(m.zone)) continue;
+            if (choice.strict && tasks_on(m, job) >= choice.machine_most) continue;
             std::vector<Victim> taken;
             const auto lost = room_for(job, m, may_waste, reclaims, hurries, taken);
             if (!lost || (best && *lost >= loss)) continue;
@@ -457,6 +539,14 @@
             if (victims.empty() || idle_only) break;  // room is being made there already, or costs nothing
         }
         if (!best) {
+            const auto tried = std::erase_if(zones, [&](const std::string& zone) {
+                auto used = per_zone.find(zone);
+                return (used == per_zone.end() ? 0 : used->second) < choice.most_in(zone);
+            });
+            if (tried > 0) {
+                --waiting;
+                continue;
+            }
             job.no_holding_out = true;
             return;
         }
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -11,6 +11,7 @@
 
 #include "core/ledger.hpp"
 #include "core/placement.hpp"
+#include "planning/zones.hpp"
 #include "settings/settings.hpp"
 #include "state/store.hpp"
 
@@ -68,6 +69,26 @@
     std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
     std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
                              const std::vector<Machine*>& machines, bool ready_only);
+    /// A job's rule for zones, nullptr if it has none, and then the zones that it could be placed in.
+    struct Zoning {
+        const policy::ZoneRule* rule = nullptr;
+        std::vector<std::string> standing;
+    };
+    Zoning zoning_of(const Job& job) const;
+    planning::ZoneChoice choose_zones(const Job& job, const Zoning& zoning,
+                                      const std::map<std::string, int>& per_zone,
+                                      const std::vector<std::string>* room = nullptr) const;
+    static std::vector<Candidate> open_in(const planning::ZoneChoice& choice, const Job& job,
+                                          const std::map<std::string, int>& per_zone,
+                                          const std::vector<Candidate>& candidates,
+                                          const std::vector<Machine*>& machines, bool apart);
+    static int tasks_on(const Machine& m, const Job& job);
+    static std::vector<std::string> zones_with_room(const Job& job, const std::vector<Candidate>& candidates,
+                                                    const std::vector<Machine*>& machines, int machine_most);
+    std::ptrdiff_t place_by_zone(const Job& job, const Zoning& zoning,
+                                 const std::map<std::string, int>& per_zone,
+                                 const std::vector<Candidate>& candidates,
+                                 const std::vector<Machine*>& machines, bool ready_only, bool give_way);
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
 
@@ -76,6 +97,7 @@
     Ledger& ledger_;
     Domain& of_;
     std::map<std::string, Resources> short_of_share_;
+    std::vector<std::string> zones_;  // of the settings and of the domain's machines, in the current pass
     Micros preempted_at_ = 0;
     int preemptions_left_ = 0;
     RateBudget idle_starts_;  // starts of idle work, which must not take the time that others need
