--- a/src/replica/jobs.cpp
+++ b/src/replica/jobs.cpp
@@ -219,21 +219,30 @@
     if (guarantees_due_ && now - guarantees_at_ >= kWeighGuarantees) {
         guarantees_due_ = false;
         guarantees_at_ = now;
-        guaranteed_.clear();
-        std::vector<std::pair<std::pair<std::int64_t, std::string>, const LiveJob*>> order;
-        for (const auto& [name, job] : live_)
-            if (!job.cancelled && job.open) order.push_back({{job.since_ms, name}, &job});
-        std::sort(order.begin(), order.end());
-        std::map<std::string, Resources> left;
-        for (const auto& t : settings_.teams) left[t.name] = t.guarantee;
-        for (const auto& [key, job] : order) {
-            Resources& room = left[job->team];
-            const int tasks = std::max(job->tasks - job->done, 0);
-            room -= {job->need.cores * tasks, job->need.cards * tasks, 0};
-            if (room.cores >= 0 && room.cards >= 0) guaranteed_.insert(key.second);
-        }
+        weigh_guarantees();
+    }
+    auto job = live_.find(ref);
+    return job != live_.end() && job->second.guaranteed;
+}
+
+/// The earlier jobs of a team take of its guarantee first.
+void JobBook::weigh_guarantees() {
+    std::vector<LiveJob*> order;
+    for (auto& [name, job] : live_) {
+        job.guaranteed = false;
+        if (!job.cancelled && job.open) order.push_back(&job);
+    }
+    // Among those of the same time by name, as they are listed.
+    std::stable_sort(order.begin(), order.end(),
+                     [](const LiveJob* a, const LiveJob* b) { return a->since_ms < b->since_ms; });
+    std::map<std::string, Resources> left;
+    for (const auto& t : settings_.teams) left[t.name] = t.guarantee;
+    for (LiveJob* job : order) {
+        Resources& room = left[job->team];
+        const int tasks = std::max(job->tasks - job->done, 0);
+        room -= {job->need.cores * tasks, job->need.cards * tasks, 0};
+        job->guaranteed = room.cores >= 0 && room.cards >= 0;
     }
-    return guaranteed_.count(ref) > 0;
 }
 
 Micros JobBook::image_seen(const std::string& image, const std::string& domain) const {
--- a/src/replica/jobs.hpp
+++ b/src/replica/jobs.hpp
@@ -55,7 +55,8 @@
     std::string image;
     bool spot = false;
     bool cancelled = false;
-    bool held = false;  // its owner takes it to be broken
+    bool held = false;        // its owner takes it to be broken
+    bool guaranteed = false;  // see JobBook::within_guarantee
     std::map<std::size_t, std::pair<Value, Revision>> parts;
 };
 
@@ -115,13 +116,14 @@
     void forget_images(Micros before);
 
   private:
+    void weigh_guarantees();
+
     const Settings& settings_;
     std::map<std::string, LiveJob> live_;
     std::set<std::string> lost_;
     bool reading_ = false;
     Pipelines pipelines_;
     std::map<std::pair<std::string, std::string>, Micros> image_seen_;  // image and domain
-    std::set<std::string> guaranteed_;
     bool guarantees_due_ = true;
     Micros guarantees_at_ = 0;
     std::list<std::string> recent_;
