A pass of planning looks at each machine once and stops asking for room in vain

Cause: with the fleet half as large again, most of the time of our own went to preemption (each waiting job weighed every task of every machine anew) and to copies of candidates, up to six lists a task.

Change: usable machines and the operators' aims are looked up once a pass; what nothing could be stopped for is remembered for jobs that need as much in the same way, until something is stopped; what stopping would cost is worked out only where it makes enough room; the parts that a job's tasks choose from are kept from task to task and hold no copies. Every choice and every random draw is as before.

--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -16,10 +16,13 @@
     int tasks = 0;
     bool has_image = false;    // or is fetching it
     bool image_ready = false;  // has it
+    double own_penalty = 0;    // the caller's: of the machine alone, before what the job's other tasks add
     double penalty = 0;        // added to the score as it is
 };
 
-/// Index of the chosen candidate's `index`, or -1 if none can hold the task.
+/// The chosen candidate's `index`, or -1 if none can hold the task.
+std::ptrdiff_t place(const std::vector<const Candidate*>& candidates, const Resources& need,
+                     const PlacementSettings& settings, std::mt19937_64& random);
 std::ptrdiff_t place(const std::vector<Candidate>& candidates, const Resources& need,
                      const PlacementSettings& settings, std::mt19937_64& random);
 
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -71,17 +71,40 @@
 
 /// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
 bool Planner::hopeless(const Job& job) const {
-    const JobSpec& s = job.spec;
-    return std::any_of(no_room_.begin(), no_room_.end(), [&](const NoRoom& n) {
-        return n.spot == s.spot && n.zone == s.zone && n.types == s.types && n.need.fits(s.need);
-    });
+    return std::any_of(no_room_.begin(), no_room_.end(), [&](const Room& r) { return r.within(job.spec); });
 }
 
 void Planner::remember_no_room(const Job& job) {
     const JobSpec& s = job.spec;
     // Only where the rest of its constraints have not played a part.
     if (s.spread || s.one_zone || hopeless(job)) return;
-    no_room_.push_back({s.spot, s.zone, s.types, s.need});
+    no_room_.push_back(room_of(job));
+}
+
+Planner::Room Planner::room_of(const Job& job) {
+    return {job.spec.spot, job.spec.zone, job.spec.types, job.spec.need};
+}
+
+/// The same constraints, and at least as much needed.
+bool Planner::Room::within(const JobSpec& s) const {
+    return spot == s.spot && zone == s.zone && types == s.types && need.fits(s.need);
+}
+
+/// Whether the pass has found already that nothing may be stopped to make as much room.
+bool Planner::in_vain(const Job& job, bool may_waste, bool reclaims) const {
+    return std::any_of(in_vain_.begin(), in_vain_.end(), [&](const Vain& v) {
+        return v.rank == job.rank && v.may_waste == may_waste && v.reclaims == reclaims &&
+               (!reclaims || v.team == job.spec.team) && v.room.within(job.spec);
+    });
+}
+
+/// The operators' aims for a class, looked up once in a pass.
+const Planner::Goals& Planner::goals(const Job& job) const {
+    auto [it, added] = goals_.try_emplace(job.spec.job_class);
+    if (added)
+        it->second = {context_.settings().goals("wait", job.spec.job_class),
+                      context_.settings().goals("finished", job.spec.job_class)};
+    return it->second;
 }
 
 /// How long a task would wait for its image. Several fetches at a time share a machine's rate.
@@ -99,15 +122,14 @@
 /// on a machine that has it, rather than a fetch begun elsewhere; but for no longer than that can help.
 bool Planner::holds_out(const Job& job) const {
     if (job.rank != Rank::Production || job.no_holding_out) return false;
-    const auto goals = context_.settings().goals("wait", job.spec.job_class);
-    if (goals.empty()) return false;
+    const auto& aims = goals(job).wait;
+    if (aims.empty()) return false;
     const Micros waited = context_.host().now() - job.waiting_since;
-    if (waited > goals.front() * 3 / 5) return false;
-    return std::none_of(ledger_.machines.begin(), ledger_.machines.end(), [&](const auto& entry) {
-        const Machine& m = *entry.second;
-        const Micros fetch = fetch_time(job, m);
-        return fetch > 0 && waited + fetch < goals.front() && of_.usable(m) && allowed(job, m) &&
-               job.spec.need.fits(m.type->size - m.booked);
+    if (waited > aims.front() * 3 / 5) return false;
+    return std::none_of(usable_.begin(), usable_.end(), [&](const Machine* m) {
+        if (!job.spec.need.fits(m->type->size - m->booked) || !allowed(job, *m)) return false;
+        const Micros fetch = fetch_time(job, *m);
+        return fetch > 0 && waited + fetch < aims.front();
     });
 }
 
@@ -115,11 +137,10 @@
 /// machines only, where there are any: others may wait for the ordinary ones that can use no other.
 void Planner::weigh_idle_room() {
     const Micros now = context_.host().now();
-    spot_machines_ = std::count_if(ledger_.machines.begin(), ledger_.machines.end(),
-                                   [this](const auto& m) { return m.second->spot && of_.usable(*m.second); });
+    spot_machines_ = std::count_if(usable_.begin(), usable_.end(), [](const Machine* m) { return m->spot; });
     Milli size = 0, used = 0, idle = 0;
-    for (const auto& [name, m] : ledger_.machines) {
-        if (!of_.usable(*m) || (spot_machines_ > 0 && !m->spot)) continue;
+    for (const Machine* m : usable_) {
+        if (spot_machines_ > 0 && !m->spot) continue;
         size += m->type->size.cores;
         used += m->booked.cores - m->idle_work;
         idle += m->idle_work;
@@ -136,12 +157,12 @@
 /// Whether it misses its first aim whatever is done now, and need not hurry for a later one either: then
 /// others of its rank that can still make it go first.
 bool Planner::can_be_late(const Job& job) const {
-    const auto goals = context_.settings().goals("finished", job.spec.job_class);
-    if (goals.empty()) return false;
+    const auto& aims = goals(job).finished;
+    if (aims.empty()) return false;
     const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
     const Micros needs = job.spec.estimate + job.spec.estimate / 3;  // the slowest of several tasks
-    if (age + needs <= goals.front()) return false;
-    return goals.size() == 1 || age + needs < goals.back() * 3 / 4;
+    if (age + needs <= aims.front()) return false;
+    return aims.size() == 1 || age + needs < aims.back() * 3 / 4;
 }
 
 /// Machines that it may use but had better not: those it failed on, until something of it has run elsewhere,
@@ -156,9 +177,10 @@
 std::vector<Candidate> Planner::candidates_for(const Job& job, bool relayed,
                                                std::vector<Machine*>& machines) {
     std::vector<Candidate> list;
-    for (auto& [name, m] : ledger_.machines) {
-        if (m->out_of_reach() != relayed || !of_.usable(*m) || !allowed(job, *m)) continue;
-        if (keeps_off(job, *m)) continue;
+    list.reserve(usable_.size());
+    machines.reserve(usable_.size());
+    for (Machine* m : usable_) {
+        if (m->out_of_reach() != relayed || !allowed(job, *m) || keeps_off(job, *m)) continue;
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
@@ -172,34 +194,43 @@
         // Urgent work without its image starts where that comes soonest.
         if (job.rank <= Rank::High)
             c.penalty += kFetchPenalty * static_cast<double>(fetch_time(job, *m)) / 1e6;
+        c.own_penalty = c.penalty;
         list.push_back(c);
-        machines.push_back(m.get());
+        machines.push_back(m);
     }
     return list;
 }
 
-/// The five steps over a part of the machines first, where a part is clearly better: those that have the
-/// image, or at least fetch it already, for urgent work, since a fetch takes longer than anything else in a
-/// start; spot machines, for what may use them, since that leaves the ordinary ones to what may not.
-std::ptrdiff_t Planner::place_for(const Job& job, const std::vector<Candidate>& open,
-                                  const std::vector<Machine*>& machines, bool ready_only) {
-    enum class Image { Any, Fetching, Ready };
-    auto pass = [&](Image image, bool spot) {
-        std::vector<Candidate> part;
-        for (const auto& c : open) {
-            if (spot && !machines[c.index]->spot) continue;
-            if (image == Image::Any || c.image_ready || (image == Image::Fetching && c.has_image))
-                part.push_back(c);
-        }
-        return place(part, job.spec.need, context_.settings().ops.placement, context_.host().random());
-    };
+/// The parts of the machines that the five steps are tried over, one after another, where a part is clearly
+/// better: those that have the image, or at least fetch it already, for urgent work, since a fetch takes
+/// longer than anything else in a start; spot machines, for what may use them, since that leaves the ordinary
+/// ones to what may not.
+std::vector<Planner::Part> Planner::parts_of(const Job& job, const std::vector<const Candidate*>& open,
+                                             const std::vector<Machine*>& machines, bool ready_only) {
     std::vector<Image> order{Image::Any};
     // Idle work stays together where its image is, so that one report and one change settle many tasks.
     if (job.rank <= Rank::High || job.rank == Rank::Low) order = {Image::Ready, Image::Fetching, Image::Any};
     if (ready_only) order = {Image::Ready};
-    for (const Image image : order) {
-        std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
-        if (chosen < 0) chosen = pass(image, false);
+    std::vector<Part> parts;
+    for (const Image image : order)
+        for (const bool spot : {true, false}) {
+            if (spot && !job.spec.spot) continue;
+            Part& part = parts.emplace_back(Part{image, spot, {}});
+            for (const auto* c : open)
+                if (part.takes(*c, *machines[c->index])) part.candidates.push_back(c);
+        }
+    return parts;
+}
+
+bool Planner::Part::takes(const Candidate& c, const Machine& m) const {
+    if (spot && !m.spot) return false;
+    return image == Image::Any || c.image_ready || (image == Image::Fetching && c.has_image);
+}
+
+std::ptrdiff_t Planner::place_for(const Job& job, const std::vector<Part>& parts) {
+    for (const auto& part : parts) {
+        const auto chosen = place(part.candidates, job.spec.need, context_.settings().ops.placement,
+                                  context_.host().random());
         if (chosen >= 0) return chosen;
     }
     return -1;
@@ -249,8 +280,14 @@
     // Idle work is bound in batches: that takes fewer changes and less time.
     const bool idle_turn = now - idle_planned_at_ >= kIdleEvery;
     if (idle_turn) idle_planned_at_ = now;
+    goals_.clear();
+    // Nothing that a pass does makes a machine usable, or no longer so.
+    usable_.clear();
+    for (const auto& [name, m] : ledger_.machines)
+        if (of_.usable(*m)) usable_.push_back(m.get());
     const std::vector<Job*> order = queue(idle_turn);
     no_room_.clear();
+    in_vain_.clear();
     if (idle_turn) weigh_idle_room();
     idle_bound_ = std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [](const auto& j) {
         return j.second->rank == Rank::Low && j.second->bound > 0;
@@ -268,10 +305,10 @@
 
 /// Whether stopping a task would make its job miss an aim that it can still make.
 bool Planner::spoils(const Job& job, Micros ran) const {
-    const auto goals = context_.settings().goals("finished", job.spec.job_class);
+    const auto& aims = goals(job).finished;
     const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
     const Micros left = std::max<Micros>(job.spec.estimate * 6 / 5 - ran, 2 * kSecond);
-    return std::any_of(goals.begin(), goals.end(),
+    return std::any_of(aims.begin(), aims.end(),
                        [&](Micros goal) { return age + left <= goal && age + left + kSetBack > goal; });
 }
 
@@ -296,6 +333,10 @@
 
     std::map<std::string, int> per_zone = job.zones();
     const int zone_cap = job.zone_cap();
+    const bool zoned = job.spec.spread || job.spec.one_zone || job.spec.kind == JobKind::Service;
+    std::vector<const Candidate*> open;
+    open.reserve(candidates.size());
+    std::vector<Part> parts;
     // All tasks bound in one pass share an attempt number; it only tells one start from another.
     const std::int64_t attempt = job.next_attempt;
     bool all = true;
@@ -325,23 +366,27 @@
         }
         std::ptrdiff_t chosen = -1;
         for (;;) {
-            std::vector<Candidate> open;
-            for (const auto& c : candidates) {
-                const std::string& zone = machines[c.index]->zone;
-                auto used = per_zone.find(zone);
-                const int there = used == per_zone.end() ? 0 : used->second;
-                if (there >= zone_cap) continue;
-                if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
-                open.push_back(c);
-                // Replicas are kept apart beyond what the job asks for.
-                if (job.spec.kind == JobKind::Service) open.back().penalty += 25.0 * there;
+            // Where zones play no part, only what is bound changes the choice (see below).
+            if (zoned || parts.empty()) {
+                open.clear();
+                for (auto& c : candidates) {
+                    auto used = per_zone.find(machines[c.index]->zone);
+                    const int there = used == per_zone.end() ? 0 : used->second;
+                    if (there >= zone_cap) continue;
+                    if (job.spec.one_zone && !per_zone.empty() && there == 0) continue;
+                    // Replicas are kept apart beyond what the job asks for.
+                    if (job.spec.kind == JobKind::Service) c.penalty = c.own_penalty + 25.0 * there;
+                    open.push_back(&c);
+                }
+                parts = parts_of(job, open, machines, ready_only);
             }
-            chosen = place_for(job, open, machines, ready_only);
+            chosen = place_for(job, parts);
             if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
             // Better a machine that only others reach than none.
             auto more = candidates_for(job, true, machines);
             if (more.empty()) break;
             candidates.insert(candidates.end(), more.begin(), more.end());
+            parts.clear();
         }
         if (chosen < 0) {
             if (!ready_only) remember_no_room(job);
@@ -354,7 +399,10 @@
         auto& c = candidates[static_cast<std::size_t>(chosen)];
         c.booked += job.spec.need;
         ++c.tasks;
-        c.has_image = true;
+        if (!std::exchange(c.has_image, true))
+            for (auto& part : parts)
+                if (auto& list = part.candidates; part.image == Image::Fetching && part.takes(c, m))
+                    list.insert(std::lower_bound(list.begin(), list.end(), &c), &c);
         spdlog::info("task {}/{}: attempt {} bound to {}", job.spec.ref, i, slot.attempt, m.name);
         if (job.held) return true;  // one try at a time
     }
@@ -427,23 +475,28 @@
     const bool reclaims = job.within_guarantee && now - job.waiting_since > 2 * kSecond;
     // Work of normal rank makes room only where idle work is.
     if (job.rank > Rank::High && !reclaims && (job.rank == Rank::Low || !idle_bound_)) return;
-    std::map<std::string, int> per_zone = job.zones();
-    const int zone_cap = job.zone_cap();
     // Where the operators want the tasks started soon, room is made for all of them.
-    const auto goals = context_.settings().goals("wait", job.spec.job_class);
+    const auto& aims = goals(job).wait;
     // Stopping idle work costs next to nothing.
     const bool idle_only = job.rank > Rank::High && !reclaims;
-    const int most = job.rank == Rank::Production || !goals.empty() || idle_only ? job.idle : 1;
-    const bool hurries = !goals.empty() && now - job.waiting_since < goals.front();
+    const int most = job.rank == Rank::Production || !aims.empty() || idle_only ? job.idle : 1;
+    const bool hurries = !aims.empty() && now - job.waiting_since < aims.front();
+    if (preemptions_left_ <= 0 || !quota_allows(job, 1)) return;
     const bool ready_only = holds_out(job);
+    if (!ready_only && in_vain(job, may_waste, reclaims)) {
+        job.no_holding_out = true;
+        return;
+    }
+    std::map<std::string, int> per_zone = job.zones();
+    const int zone_cap = job.zone_cap();
     for (int waiting = 1; waiting <= most && preemptions_left_ > 0; ++waiting) {
         if (!quota_allows(job, waiting)) return;
         Machine* best = nullptr;
         std::vector<Victim> victims;
         double loss = 0;
-        for (auto& [name, owned] : ledger_.machines) {
-            Machine& m = *owned;
-            if (!of_.usable(m) || !allowed(job, m)) continue;
+        for (Machine* machine : usable_) {
+            Machine& m = *machine;
+            if (!allowed(job, m)) continue;
             if (ready_only && fetch_time(job, m) > 0) continue;
             auto used = per_zone.find(m.zone);
             const int there = used == per_zone.end() ? 0 : used->second;
@@ -458,11 +511,17 @@
         }
         if (!best) {
             job.no_holding_out = true;
+            // Only where the rest of its constraints have not played a part.
+            if (!ready_only && !job.spec.spread && !job.spec.one_zone)
+                in_vain_.push_back({room_of(job), job.rank, may_waste, reclaims, job.spec.team});
             return;
         }
         claimed_[best] += job.spec.need;
         ++per_zone[best->zone];
-        if (!victims.empty()) --preemptions_left_;
+        if (!victims.empty()) {
+            --preemptions_left_;
+            in_vain_.clear();  // what stops makes room for others as well
+        }
         for (const auto& v : victims) {
             spdlog::info("task {}/{}: stopped to make room for {}", v.job->spec.ref,
                          v.slot - v.job->slots.data(), job.spec.ref);
@@ -478,7 +537,8 @@
     const Micros now = context_.host().now();
     Resources room = m.type->size - m.booked;
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
-    std::vector<Victim> victims;
+    std::vector<std::pair<Job*, Slot*>> may_stop;
+    Resources most;
     for (const auto& [other, task] : m.tasks) {
         Slot& slot = other->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound) continue;
@@ -495,19 +555,26 @@
                              other->spec.team != job.spec.team;
         if (!lower && !reclaim) continue;
         if (other->spec.kind == JobKind::Service && !reclaim) continue;
+        may_stop.emplace_back(other, &slot);
+        most += other->spec.need;
+    }
+    if (job.spec.need.fits(room)) return 0.0;
+    if (!job.spec.need.fits(room + most)) return std::nullopt;
+    std::vector<Victim> victims;
+    victims.reserve(may_stop.size());
+    for (const auto& [other, slot] : may_stop) {
         // Saving takes its time, in which nothing is done: where less has been done since the last
         // checkpoint, or somebody can't wait for it, the task exits at once.
-        const Micros ran = slot.run_since ? now - slot.run_since : 0;
+        const Micros ran = slot->run_since ? now - slot->run_since : 0;
         const Micros saving = other->spec.save + kSecond;
         const Micros unsaved = other->spec.checkpoint > 0 ? ran % other->spec.checkpoint : ran;
         const bool saves = other->spec.checkpoint > 0 && !hurries && unsaved > saving;
         // A start that does not last is none for its user.
         const double lost = static_cast<double>(saves ? saving : unsaved) / 1e6 + 1.0 +
                             (ran < kLasting ? kShortStart : 0.0) + (spoils(*other, ran) ? kSpoilt : 0.0);
-        victims.push_back({&slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0),
+        victims.push_back({slot, other, lost * (1.0 + static_cast<double>(other->spec.need.cores) / 1000.0),
                            saves ? saving : 0});
     }
-    if (job.spec.need.fits(room)) return 0.0;
     std::sort(victims.begin(), victims.end(),
               [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
     double loss = 0;
@@ -517,7 +584,6 @@
         loss += v.loss;
         taken.push_back(v);
     }
-    if (!job.spec.need.fits(room)) return std::nullopt;
     return loss;
 }
 
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -66,10 +66,34 @@
     std::optional<double> room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                    bool hurries, std::vector<Victim>& taken) const;
     std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
-    std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
-                             const std::vector<Machine*>& machines, bool ready_only);
+    /// Whether a machine has a job's image, or at least fetches it.
+    enum class Image { Any, Fetching, Ready };
+    struct Part {
+        Image image;
+        bool spot;  // none but spot machines
+        std::vector<const Candidate*> candidates{};
+        bool takes(const Candidate& c, const Machine& m) const;
+    };
+    static std::vector<Part> parts_of(const Job& job, const std::vector<const Candidate*>& open,
+                                      const std::vector<Machine*>& machines, bool ready_only);
+    std::ptrdiff_t place_for(const Job& job, const std::vector<Part>& parts);
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
+    bool in_vain(const Job& job, bool may_waste, bool reclaims) const;
+    /// The operators' aims for a class, the shortest first.
+    struct Goals {
+        std::vector<Micros> wait, finished;
+    };
+    const Goals& goals(const Job& job) const;
+    /// Room that a task needs, and where.
+    struct Room {
+        bool spot;
+        std::optional<std::string> zone;
+        std::optional<std::vector<std::string>> types;
+        Resources need;
+        bool within(const JobSpec& s) const;
+    };
+    static Room room_of(const Job& job);
 
     OwnerContext& context_;
     std::string domain_;
@@ -86,15 +110,20 @@
     std::ptrdiff_t spot_machines_ = 0;
     bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
+    std::vector<Machine*> usable_;                 // in the current pass, by name
+    mutable std::map<std::string, Goals> goals_;   // by class, in the current pass
     /// What found no room in the current pass: whatever needs as much under the same constraints won't
     /// either.
-    struct NoRoom {
-        bool spot;
-        std::optional<std::string> zone;
-        std::optional<std::vector<std::string>> types;
-        Resources need;
+    std::vector<Room> no_room_;
+    /// What nothing could be stopped for in the current pass, and nothing has been stopped since.
+    struct Vain {
+        Room room;
+        Rank rank;
+        bool may_waste;
+        bool reclaims;
+        std::string team;
     };
-    std::vector<NoRoom> no_room_;
+    std::vector<Vain> in_vain_;
 };
 
 }  // namespace cottonway
