--- a/src/core/machine.hpp
+++ b/src/core/machine.hpp
@@ -2,6 +2,7 @@
 // A machine of a domain as its holder knows it: what is on it, what it was last heard to say, what was sent
 // to it and is not settled.
 
+#include <boost/container/flat_set.hpp>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -57,8 +58,8 @@
     bool notice = false;
     Micros notice_end = 0;
     Resources booked;
-    Milli idle_work = 0;  // cores of these that work of idle rank has
-    std::set<TaskRef> tasks;
+    Milli idle_work = 0;                        // cores of these that work of idle rank has
+    boost::container::flat_set<TaskRef> tasks;  // gone through far more often than changed
     std::vector<ReportedTask> exited;
     std::vector<ReportedTask> strays;
     std::vector<Promise> promises;  // by peer
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -63,7 +63,8 @@
 
 void Owner::void_machine(Machine& m, const char* why) {
     if (!m.tasks.empty()) spdlog::info("machine {}: {} tasks are gone: {}", m.name, m.tasks.size(), why);
-    for (const auto& t : std::set(m.tasks)) gone(*t.job, t.task, 0);
+    const auto tasks = m.tasks;
+    for (const auto& t : tasks) gone(*t.job, t.task, 0);
     ledger_.forget_strays(m);
     m.exited.clear();
     m.taints.clear();
@@ -225,7 +226,8 @@
 void Owner::drain_noticed(Machine& m) {
     const Micros now = context_.host().now();
     const Micros left = std::max<Micros>(m.notice_end - now, 0);
-    for (const auto& [job, task] : std::set(m.tasks)) {
+    const auto tasks = m.tasks;
+    for (const auto& [job, task] : tasks) {
         Slot& slot = job->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound || slot.stop) continue;
         const Micros ran = slot.run_since > 0 ? now - slot.run_since : 0;
