--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -65,7 +65,8 @@
     Micros waiting_since = 0;
     bool within_guarantee = false;
     Micros idle_turn = 0;         // when idle work is bound again
-    bool no_holding_out = false;  // there is nothing to wait for (see Owner::holds_out)
+    bool holding_out = false;     // as of the last pass: waits for a machine that has its image
+    bool no_holding_out = false;  // there is nothing to wait for (see Planner::holds_out)
     bool leaving = false;         // being given to another domain: nothing of it is bound
     /// Whether it can run at all: a task of it has ended well, or has run for a while.
     bool proven = false;
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -39,7 +39,6 @@
 
     static bool allowed(const Job& job, const Machine& m);
     bool quota_allows(const Job& job, int tasks) const;
-    bool holds_out(const Job& job) const;
     /// What waits for a larger part of a team's limit, as of the last pass.
     const std::map<std::string, Resources>& short_of_share() const { return short_of_share_; }
 
@@ -55,6 +54,7 @@
     static Micros idle_pause(const Job& job);
     bool spoils(const Job& job, Micros ran) const;
     static Micros fetch_time(const Job& job, const Machine& m);
+    bool holds_out(const Job& job) const;
     bool can_be_late(const Job& job) const;
 
     void preempt(Job& job);
@@ -67,8 +67,17 @@
     std::optional<double> room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                    bool hurries, std::vector<Victim>& taken) const;
     std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
-    std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
-                             const std::vector<Machine*>& machines, bool ready_only);
+    /// Whether a machine has a job's image, or at least fetches it.
+    enum class Image { Any, Fetching, Ready };
+    struct Part {
+        Image image;
+        bool spot;  // none but spot machines
+        std::vector<const Candidate*> candidates{};
+        bool takes(const Candidate& c, const Machine& m) const;
+    };
+    static std::vector<Part> parts_of(const Job& job, const std::vector<const Candidate*>& open,
+                                      const std::vector<Machine*>& machines, bool ready_only);
+    std::ptrdiff_t place_for(const Job& job, const std::vector<Part>& parts);
     /// A job's rule for zones, nullptr if it has none, and then the zones that it could be placed in.
     struct Zoning {
         const policy::ZoneRule* rule = nullptr;
@@ -78,19 +87,34 @@
     planning::ZoneChoice choose_zones(const Job& job, const Zoning& zoning,
                                       const std::map<std::string, int>& per_zone,
                                       const std::vector<std::string>* room = nullptr) const;
-    static std::vector<Candidate> open_in(const planning::ZoneChoice& choice, const Job& job,
-                                          const std::map<std::string, int>& per_zone,
-                                          const std::vector<Candidate>& candidates,
-                                          const std::vector<Machine*>& machines, bool apart);
+    static std::vector<const Candidate*> open_in(const planning::ZoneChoice& choice, const Job& job,
+                                                 const std::map<std::string, int>& per_zone,
+                                                 std::vector<Candidate>& candidates,
+                                                 const std::vector<Machine*>& machines, bool apart);
     static int tasks_on(const Machine& m, const Job& job);
     static std::vector<std::string> zones_with_room(const Job& job, const std::vector<Candidate>& candidates,
                                                     const std::vector<Machine*>& machines, int machine_most);
     std::ptrdiff_t place_by_zone(const Job& job, const Zoning& zoning,
                                  const std::map<std::string, int>& per_zone,
-                                 const std::vector<Candidate>& candidates,
-                                 const std::vector<Machine*>& machines, bool ready_only, bool give_way);
+                                 std::vector<Candidate>& candidates, const std::vector<Machine*>& machines,
+                                 bool ready_only, bool give_way);
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
+    bool in_vain(const Job& job, bool may_waste, bool reclaims) const;
+    /// The operators' aims for a class, the shortest first.
+    struct Goals {
+        std::vector<Micros> wait, finished;
+    };
+    const Goals& goals(const Job& job) const;
+    /// Room that a task needs, and where.
+    struct Room {
+        bool spot;
+        std::optional<std::string> zone;
+        std::optional<std::vector<std::string>> types;
+        Resources need;
+        bool within(const JobSpec& s) const;
+    };
+    static Room room_of(const Job& job);
 
     OwnerContext& context_;
     std::string domain_;
@@ -108,15 +132,20 @@
     std::ptrdiff_t spot_machines_ = 0;
     bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
+    std::vector<Machine*> usable_;                 // in the current pass, by name
+    mutable std::map<std::string, Goals> goals_;   // by class, in the current pass
     /// What found no room in the current pass: whatever needs as much under the same constraints won't
     /// either.
-    struct NoRoom {
-        bool spot;
-        std::optional<std::string> zone;
-        std::optional<std::vector<std::string>> types;
-        Resources need;
+    std::vector<Room> no_room_;
+    /// What nothing could be stopped for in the current pass, and nothing has been stopped since.
+    struct Vain {
+        Room room;
+        Rank rank;
+        bool may_waste;
+        bool reclaims;
+        std::string team;
     };
-    std::vector<NoRoom> no_room_;
+    std::vector<Vain> in_vain_;
 };
 
 }  // namespace cottonway
