Cards in pieces have a price in the score, and moves make room for a large task

Need: a model of 8 cards waits although as many are free, four on each of two machines; the score of placement does not look at cards.

src/planning/cards: a share of the free cards that is of no use to the shapes asked for, its increase as a term of the score, and plans of moves by cost in seconds, bounded by the budgets, for single tasks and whole gangs. JobView says for how many of its tasks room is kept.

--- a/src/planning/cards.hpp
+++ b/src/planning/cards.hpp
@@ -2,6 +2,7 @@
 // Cards left over in pieces: a term of the score that keeps them together, and moves that make room for a
 // large task that fits by total but on no machine. Pure.
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -14,13 +15,18 @@
   public:
     void add(Milli cards, double weight);
     /// Part of `free` cards (of one machine) that is of no use to the shapes, weighed by how often they are
-    /// asked for: 0 none, 1 all of it.
+    /// asked for: 0 none, 1 all of it. A shape uses as many whole multiples of itself as are free.
     double useless(Milli free) const;
+    /// Cards of no use in `room` of a machine of `size`, 0 to the number that is free: those of no use to the
+    /// shapes, and those that have less than their part of the machine's cores or memory beside them.
+    double useless_cards(const Resources& size, const Resources& room) const;
     bool empty() const { return weights_.empty(); }
 
   private:
     std::map<Milli, double> weights_;
+    double total_ = 0;
 };
+/// Each card that is asked for counts; what waits counts kWaitingWeight times as much as what runs.
 Shapes shapes_of(const View& view);
 
 /// Added to a candidate's score (lower is better, the paper's weights add up to 100): what the task's start
@@ -30,16 +36,18 @@
                     const Shapes& shapes);
 
 /// Moves that make room for one task of `job` (index into View::jobs): the machine it shall start on, and
-/// what has to leave it, each with a destination that fits.
+/// what has to leave it, each with a destination that fits. No moves: what is stopping there is enough.
 struct RoomPlan {
     Gather gather;
     std::vector<Move> moves;
     double cost = 0;  // seconds: time without the moved tasks, weights fetched again, work lost
 };
+/// Nothing if it does not wait long enough, fits already, cannot have room within the budgets, or is a gang
+/// that waits with several tasks (make_rooms).
 std::optional<RoomPlan> make_room(const View& view, std::size_t job, const policy::Policy& policy);
 
 /// For all that waits long enough, the highest tier and the longest wait first, within the budgets; plans do
-/// not use the same room twice.
+/// not use the same room twice. A gang has one plan for each of its machines, all of them or none.
 std::vector<RoomPlan> make_rooms(const View& view, const policy::Policy& policy);
 
 }  // namespace cottonway::planning
--- a/src/planning/view.hpp
+++ b/src/planning/view.hpp
@@ -50,6 +50,7 @@
     Rank rank = Rank::Normal;
     bool cancelled = false;
     int idle = 0;        // tasks that wait for room
+    int gathered = 0;    // those of the idle ones that room is kept for already
     int bound = 0;       // tasks on machines, in doubt and stopping ones included
     Micros waiting = 0;  // since some task of it has waited for room; 0: none does
     Micros age = 0;      // since it began to count (its submission or the end of what it needed)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -6,7 +6,7 @@
 apt-get update -qq
 # shellcheck disable=SC2086
 DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $packages \
-    libgtest-dev librapidcheck-dev clang-format >/dev/null
+    libgtest-dev librapidcheck-dev libglpk-dev clang-format >/dev/null
 find src tools tests -name '*.?pp' -print0 | xargs -0 clang-format --dry-run -Werror
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)"
 cmake -S . -B target/tests -DCMAKE_BUILD_TYPE=Debug -DCOTTONWAY_TESTS=ON -DCOTTONWAY_SANITIZE=address,undefined
