--- a/src/planning/cards.cpp
+++ b/src/planning/cards.cpp
@@ -13,7 +13,7 @@
 constexpr double kWaitingWeight = 3;
 
 // Score. The weights of the paper add up to 100, so this is what a whole machine of cards is worth.
-constexpr double kScoreOfMachine = 200;
+constexpr double kScoreOfMachine = 400;
 // More than all other terms of the score together: work without cards goes elsewhere if it can.
 constexpr double kScoreWithoutCards = 200;
 
