--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -9,9 +9,12 @@
 #include <string>
 #include <vector>
 
-#include "settings/settings.hpp"
 #include "wire/wire.hpp"
 
+namespace cottonway {
+struct Settings;
+}
+
 namespace cottonway::policy {
 
 /// What a job is to the operators. A lower tier never delays a higher one; each batch tier has a floor.
@@ -115,14 +118,22 @@
 };
 
 const char* name_of(Tier tier);
+const char* name_of(Survive survive);
 
 /// What all controllers go by until operators have set one.
 Policy default_policy(const Settings& settings);
 
-/// The record's value, and back; nothing if it is damaged. Unknown fields are ignored.
+/// What of it is out of bounds or contradicts itself: one line that names the key and the reason; "" if
+/// nothing.
+std::string problem_of(const Policy& policy);
+
+/// The record's value, and back; nothing if it is damaged (a revision of 0 is). Unknown fields are ignored.
 Value to_value(const Policy& policy);
 std::optional<Policy> from_value(const Value& value);
 
+/// As operators write it, with the keys of their file; all settings, those left at their defaults as well.
+Value describe(const Policy& policy);
+
 /// Operators' file (TOML, checked as a whole). Throws std::runtime_error with one line that names the key and
 /// the reason; `settings` may be nullptr, then teams and zones are not checked against them.
 Policy load(const std::string& path, const Settings* settings);
