Placement packs cards where the policy says so, and plans of moves cost less

candidates_for adds card_penalty when cards.pack is set and some machine has cards, bookings of a pass move it along, and work without cards tries machines without first; otherwise nothing is added and no number drawn. Places for a job are its image's holders and the 64 tightest machines, and 8 machines with a plan are enough.

--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -110,7 +110,7 @@
     else if (job.spec.kind == JobKind::Gang && with_room < job.spec.tasks)
         why.push_back("a gang starts as a whole, and there may not be room for all of it");
     if (job.leftover()) why.push_back("it takes what other work leaves over, in turns");
-    if (holds_out(job)) why.push_back("it waits for a machine that has its image");
+    if (planner_.holds_out(job)) why.push_back("it waits for a machine that has its image");
     const auto failing = std::count_if(job.slots.begin(), job.slots.end(), [&](const Slot& s) {
         return s.state == SlotState::Idle && s.retry_at > now;
     });
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -151,6 +151,17 @@
     return job.leftover() && job.spec.spot && !m.spot && spot_machines_ > 0;
 }
 
+void Planner::weigh_cards() {
+    shapes_.reset();
+    if (!context_.policy().cards.pack) return;
+    if (std::none_of(ledger_.machines.begin(), ledger_.machines.end(),
+                     [](const auto& m) { return m.second->type && m.second->type->size.cards > 0; }))
+        return;
+    shapes_.emplace();
+    for (const auto& [ref, job] : ledger_.jobs)
+        if (job->open) shapes_->add(job->spec.need.cards, job->idle, job->bound);
+}
+
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
 /// reach are asked separately.
 std::vector<Candidate> Planner::candidates_for(const Job& job, bool relayed,
@@ -172,6 +183,7 @@
         // Urgent work without its image starts where that comes soonest.
         if (job.rank <= Rank::High)
             c.penalty += kFetchPenalty * static_cast<double>(fetch_time(job, *m)) / 1e6;
+        if (shapes_) c.penalty += planning::card_penalty(c.size, c.booked, job.spec.need, *shapes_);
         list.push_back(c);
         machines.push_back(m.get());
     }
@@ -184,10 +196,11 @@
 std::ptrdiff_t Planner::place_for(const Job& job, const std::vector<Candidate>& open,
                                   const std::vector<Machine*>& machines, bool ready_only) {
     enum class Image { Any, Fetching, Ready };
-    auto pass = [&](Image image, bool spot) {
+    auto pass = [&](Image image, bool spot, bool bare) {
         std::vector<Candidate> part;
         for (const auto& c : open) {
             if (spot && !machines[c.index]->spot) continue;
+            if (bare && c.size.cards > 0) continue;
             if (image == Image::Any || c.image_ready || (image == Image::Fetching && c.has_image))
                 part.push_back(c);
         }
@@ -197,14 +210,32 @@
     // Idle work stays together where its image is, so that one report and one change settle many tasks.
     if (job.rank <= Rank::High || job.rank == Rank::Low) order = {Image::Ready, Image::Fetching, Image::Any};
     if (ready_only) order = {Image::Ready};
+    // Work without cards takes machines without them first; urgent work only where its image comes as soon.
+    const bool bare_first = shapes_ && job.spec.need.cards <= 0;
+    std::vector<std::pair<Image, bool>> steps;
+    if (bare_first && job.rank > Rank::High)
+        for (const Image image : order) steps.emplace_back(image, true);
     for (const Image image : order) {
-        std::ptrdiff_t chosen = job.spec.spot ? pass(image, true) : -1;
-        if (chosen < 0) chosen = pass(image, false);
+        if (bare_first && job.rank <= Rank::High) steps.emplace_back(image, true);
+        steps.emplace_back(image, false);
+    }
+    for (const auto& [image, bare] : steps) {
+        std::ptrdiff_t chosen = job.spec.spot ? pass(image, true, bare) : -1;
+        if (chosen < 0) chosen = pass(image, false, bare);
         if (chosen >= 0) return chosen;
     }
     return -1;
 }
 
+/// A task of the job is to start on the candidate.
+void Planner::book(Candidate& c, const Job& job) const {
+    const Resources& need = job.spec.need;
+    if (shapes_) c.penalty -= planning::card_penalty(c.size, c.booked, need, *shapes_);
+    c.booked += need;
+    if (shapes_) c.penalty += planning::card_penalty(c.size, c.booked, need, *shapes_);
+    ++c.tasks;
+}
+
 /// Highest rank first, then what is guaranteed, then the nearest deadline. Among equals the least work left
 /// goes first, so that one wide array does not hold up many small jobs; waiting makes up for size, so that
 /// none waits for ever.
@@ -252,6 +283,7 @@
     const std::vector<Job*> order = queue(idle_turn);
     no_room_.clear();
     if (idle_turn) weigh_idle_room();
+    weigh_cards();
     idle_bound_ = std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [](const auto& j) {
         return j.second->rank == Rank::Low && j.second->bound > 0;
     });
@@ -352,8 +384,7 @@
         job.next_attempt = attempt + 1;
         ++per_zone[m.zone];
         auto& c = candidates[static_cast<std::size_t>(chosen)];
-        c.booked += job.spec.need;
-        ++c.tasks;
+        book(c, job);
         c.has_image = true;
         spdlog::info("task {}/{}: attempt {} bound to {}", job.spec.ref, i, slot.attempt, m.name);
         if (job.held) return true;  // one try at a time
@@ -398,8 +429,7 @@
                 place(open, job.spec.need, context_.settings().ops.placement, context_.host().random());
             if (pick < 0) break;
             auto& c = trial[static_cast<std::size_t>(pick)];
-            c.booked += job.spec.need;
-            ++c.tasks;
+            book(c, job);
             Machine* m = machines[static_cast<std::size_t>(pick)];
             ++per_zone[m->zone];
             chosen.emplace_back(static_cast<int>(i), m);
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -11,6 +11,7 @@
 
 #include "core/ledger.hpp"
 #include "core/placement.hpp"
+#include "planning/cards.hpp"
 #include "settings/settings.hpp"
 #include "state/store.hpp"
 
@@ -38,6 +39,8 @@
 
     static bool allowed(const Job& job, const Machine& m);
     bool quota_allows(const Job& job, int tasks) const;
+    /// Whether it waits for a machine that has its image rather than fetch it elsewhere.
+    bool holds_out(const Job& job) const;
     /// What waits for a larger part of a team's limit, as of the last pass.
     const std::map<std::string, Resources>& short_of_share() const { return short_of_share_; }
 
@@ -53,7 +56,6 @@
     static Micros idle_pause(const Job& job);
     bool spoils(const Job& job, Micros ran) const;
     static Micros fetch_time(const Job& job, const Machine& m);
-    bool holds_out(const Job& job) const;
     bool can_be_late(const Job& job) const;
 
     void preempt(Job& job);
@@ -65,9 +67,11 @@
     };
     std::optional<double> room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                    bool hurries, std::vector<Victim>& taken) const;
+    void weigh_cards();
     std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
     std::ptrdiff_t place_for(const Job& job, const std::vector<Candidate>& open,
                              const std::vector<Machine*>& machines, bool ready_only);
+    void book(Candidate& c, const Job& job) const;
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
 
@@ -84,6 +88,9 @@
     double peak_use_ = 0;  // of cores by other work, where idle work may run
     Micros peak_use_at_ = 0;
     std::ptrdiff_t spot_machines_ = 0;
+    /// What cards are asked for, in the current pass; nothing unless the policy packs them and some machine
+    /// has any.
+    std::optional<planning::Shapes> shapes_;
     bool idle_bound_ = false;                      // something of idle rank is bound
     std::map<const Machine*, Resources> claimed_;  // room that waiting tasks will take, in the current pass
     /// What found no room in the current pass: whatever needs as much under the same constraints won't
--- a/src/planning/cards.cpp
+++ b/src/planning/cards.cpp
@@ -27,7 +27,8 @@
 constexpr std::size_t kLeaving = 12;      // tasks of a machine that are thought of
 constexpr std::size_t kDestinations = 8;  // for each task, beyond one for each move
 constexpr int kTries = 400;               // destinations tried for one set of tasks
-constexpr std::size_t kPlans = 16;        // machines with a plan, of which the cheapest is taken
+constexpr std::size_t kPlans = 8;         // machines with a plan, of which the cheapest is taken
+constexpr std::size_t kPlaces = 64;       // machines with room that are weighed as places for a job
 constexpr std::size_t kMachines = 256;    // machines searched for one task, those with most room first
 constexpr std::size_t kHopeless = 16;     // jobs without a plan, after which a call gives up
 
@@ -47,6 +48,10 @@
     total_ += weight;
 }
 
+void Shapes::add(Milli cards, int waiting, int running) {
+    add(cards, cards_of(cards) * (kWaitingWeight * waiting + running));
+}
+
 double Shapes::useless(Milli free) const {
     if (free <= 0 || weights_.empty()) return 0;
     double useless = 0;
@@ -68,11 +73,8 @@
 
 Shapes shapes_of(const View& view) {
     Shapes shapes;
-    for (const auto& job : view.jobs) {
-        if (job.cancelled) continue;
-        const Milli cards = job.spec.need.cards;
-        shapes.add(cards, cards_of(cards) * (kWaitingWeight * job.idle + job.bound));
-    }
+    for (const auto& job : view.jobs)
+        if (!job.cancelled) shapes.add(job.spec.need.cards, job.idle, job.bound);
     return shapes;
 }
 
@@ -118,11 +120,14 @@
         for (const auto& m : view.machines) {
             all_.push_back(all_.size());
             if (m.room().cards > 0) with_cards_.push_back(all_.back());
+            for (const auto& image : m.images) with_image_[image.name].push_back(all_.back());
             now_.push_back(m.room());
             later_.push_back(m.room() + m.stopping);
             fetches_.push_back(static_cast<int>(
                 std::count_if(m.images.begin(), m.images.end(), [](const auto& i) { return !i.ready; })));
         }
+        std::stable_sort(with_cards_.begin(), with_cards_.end(),
+                         [this](auto a, auto b) { return now_[a].cards < now_[b].cards; });
         added_.resize(view.jobs.size());
         may_move_.resize(view.jobs.size());
         for (std::size_t j = 0; j < view.jobs.size(); ++j) may_move_[j] = may_move(view.jobs[j]);
@@ -278,14 +283,24 @@
         if (!fresh) return it->second;
         const JobSpec& spec = view_.jobs[job].spec;
         std::vector<std::pair<double, Destination>> list;
-        for (const std::size_t m : spec.need.cards > 0 ? with_cards_ : all_) {
-            if (!fits_now(job, m) || !allowed(job, m) || !zone_open(job, m, nullptr)) continue;
+        std::vector<bool> seen(view_.machines.size(), false);
+        auto weigh = [&](std::size_t m) {
+            if (seen[m] || !fits_now(job, m) || !allowed(job, m) || !zone_open(job, m, nullptr)) return;
+            seen[m] = true;
             const MachineView& machine = view_.machines[m];
             const double fetch =
                 (spec.kind == JobKind::Service ? kServiceWeight : 1) * fetch_seconds(spec, m);
             const double worse =
                 card_penalty(machine.size, machine.size - least(now_[m], later_[m]), spec.need, shapes_);
             list.push_back({fetch + worse, {m, fetch}});
+        };
+        // Those with its image, then the tightest; as many as there are moves are enough to find a plan.
+        if (auto holders = with_image_.find(spec.image); holders != with_image_.end())
+            for (const std::size_t m : holders->second) weigh(m);
+        const std::size_t enough = list.size() + std::max(kPlaces, keep);
+        for (const std::size_t m : spec.need.cards > 0 ? with_cards_ : all_) {
+            if (list.size() >= enough) break;
+            weigh(m);
         }
         const std::size_t n = std::min(keep, list.size());
         std::partial_sort(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(n), list.end(),
@@ -515,7 +530,8 @@
     std::vector<bool> may_move_;                     // by job
     std::vector<std::map<std::string, int>> added_;  // by job: tasks that start in a zone by these plans
     std::map<std::size_t, std::vector<Destination>> places_;  // by job
-    std::vector<std::size_t> all_, with_cards_;               // machines; those with cards that are free now
+    std::vector<std::size_t> all_, with_cards_;  // machines; those with free cards, the fewest first
+    std::map<std::string, std::vector<std::size_t>> with_image_;
 };
 
 }  // namespace
--- a/src/planning/cards.hpp
+++ b/src/planning/cards.hpp
@@ -14,6 +14,8 @@
 class Shapes {
   public:
     void add(Milli cards, double weight);
+    /// Tasks of one job, by what they ask for: each card counts, of waiting tasks threefold.
+    void add(Milli cards, int waiting, int running);
     /// Part of `free` cards (of one machine) that is of no use to the shapes, weighed by how often they are
     /// asked for: 0 none, 1 all of it. A shape uses as many whole multiples of itself as are free.
     double useless(Milli free) const;
@@ -26,7 +28,6 @@
     std::map<Milli, double> weights_;
     double total_ = 0;
 };
-/// Each card that is asked for counts; what waits counts kWaitingWeight times as much as what runs.
 Shapes shapes_of(const View& view);
 
 /// Added to a candidate's score (lower is better, the paper's weights add up to 100): what the task's start
