--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -174,6 +174,17 @@
     return job.leftover() && job.spec.spot && !m.spot && spot_machines_ > 0;
 }
 
+void Planner::weigh_cards() {
+    shapes_.reset();
+    if (!context_.policy().cards.pack) return;
+    if (std::none_of(ledger_.machines.begin(), ledger_.machines.end(),
+                     [](const auto& m) { return m.second->type && m.second->type->size.cards > 0; }))
+        return;
+    shapes_.emplace();
+    for (const auto& [ref, job] : ledger_.jobs)
+        if (job->open) shapes_->add(job->spec.need.cards, job->idle, job->bound);
+}
+
 /// The machines that a job may use and that have room for a task of it; those that only other controllers
 /// reach are asked separately.
 std::vector<Candidate> Planner::candidates_for(const Job& job, bool relayed,
@@ -196,6 +207,7 @@
         // Urgent work without its image starts where that comes soonest.
         if (job.rank <= Rank::High)
             c.penalty += kFetchPenalty * static_cast<double>(fetch_time(job, *m)) / 1e6;
+        if (shapes_) c.penalty += planning::card_penalty(c.size, c.booked, job.spec.need, *shapes_);
         c.own_penalty = c.penalty;
         list.push_back(c);
         machines.push_back(m);
@@ -206,18 +218,27 @@
 /// The parts of the machines that the five steps are tried over, one after another, where a part is clearly
 /// better: those that have the image, or at least fetch it already, for urgent work, since a fetch takes
 /// longer than anything else in a start; spot machines, for what may use them, since that leaves the ordinary
-/// ones to what may not.
+/// ones to what may not; machines without cards, for what needs none.
 std::vector<Planner::Part> Planner::parts_of(const Job& job, const std::vector<const Candidate*>& open,
-                                             const std::vector<Machine*>& machines, bool ready_only) {
+                                             const std::vector<Machine*>& machines, bool ready_only) const {
     std::vector<Image> order{Image::Any};
     // Idle work stays together where its image is, so that one report and one change settle many tasks.
     if (job.rank <= Rank::High || job.rank == Rank::Low) order = {Image::Ready, Image::Fetching, Image::Any};
     if (ready_only) order = {Image::Ready};
+    // Work without cards takes machines without them first; urgent work only where its image comes as soon.
+    const bool bare_first = shapes_ && job.spec.need.cards <= 0;
+    std::vector<std::pair<Image, bool>> steps;
+    if (bare_first && job.rank > Rank::High)
+        for (const Image image : order) steps.emplace_back(image, true);
+    for (const Image image : order) {
+        if (bare_first && job.rank <= Rank::High) steps.emplace_back(image, true);
+        steps.emplace_back(image, false);
+    }
     std::vector<Part> parts;
-    for (const Image image : order)
+    for (const auto& [image, bare] : steps)
         for (const bool spot : {true, false}) {
             if (spot && !job.spec.spot) continue;
-            Part& part = parts.emplace_back(Part{image, spot, {}});
+            Part& part = parts.emplace_back(Part{image, spot, bare, {}});
             for (const auto* c : open)
                 if (part.takes(*c, *machines[c->index])) part.candidates.push_back(c);
         }
@@ -225,7 +246,7 @@
 }
 
 bool Planner::Part::takes(const Candidate& c, const Machine& m) const {
-    if (spot && !m.spot) return false;
+    if ((spot && !m.spot) || (bare && c.size.cards > 0)) return false;
     return image == Image::Any || c.image_ready || (image == Image::Fetching && c.has_image);
 }
 
@@ -238,6 +259,18 @@
     return -1;
 }
 
+/// A task of the job is to start on the candidate.
+void Planner::book(Candidate& c, const Job& job) const {
+    const Resources& need = job.spec.need;
+    auto cards = [&] { return shapes_ ? planning::card_penalty(c.size, c.booked, need, *shapes_) : 0.0; };
+    const double before = cards();
+    c.booked += need;
+    const double more = cards() - before;
+    c.own_penalty += more;
+    c.penalty += more;
+    ++c.tasks;
+}
+
 /// Highest rank first, then what is guaranteed, then the nearest deadline. Among equals the least work left
 /// goes first, so that one wide array does not hold up many small jobs; waiting makes up for size, so that
 /// none waits for ever.
@@ -295,6 +328,7 @@
     zones_.assign(zones.begin(), zones.end());
     in_vain_.clear();
     if (idle_turn) weigh_idle_room();
+    weigh_cards();
     idle_bound_ = std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [](const auto& j) {
         return j.second->rank == Rank::Low && j.second->bound > 0;
     });
@@ -491,8 +525,7 @@
         job.next_attempt = attempt + 1;
         ++per_zone[m.zone];
         auto& c = candidates[static_cast<std::size_t>(chosen)];
-        c.booked += job.spec.need;
-        ++c.tasks;
+        book(c, job);
         if (!std::exchange(c.has_image, true))
             for (auto& part : parts)
                 if (auto& list = part.candidates; part.image == Image::Fetching && part.takes(c, m))
@@ -543,8 +576,7 @@
                 place(open, job.spec.need, context_.settings().ops.placement, context_.host().random());
             if (pick < 0) break;
             auto& c = trial[static_cast<std::size_t>(pick)];
-            c.booked += job.spec.need;
-            ++c.tasks;
+            book(c, job);
             Machine* m = machines[static_cast<std::size_t>(pick)];
             ++per_zone[m->zone];
             chosen.emplace_back(static_cast<int>(i), m);
