--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -153,6 +153,7 @@
     j.checkpoint = x.seconds("checkpoint_s", 0);
     j.save = x.seconds("save_s", 0);
     if (const Micros due = x.seconds("deadline_s", 0); due > 0) j.deadline = due;
+    l.lasts = x.seconds("lasts_s", 0);
     l.per_minute = x.number("per_minute", 0, 0, 1e6);
     l.initial = x.count("initial", 0);
     l.tasks_low = std::max(x.count("tasks", 1, 100'000), 1);
@@ -574,6 +575,10 @@
         const double spread = std::uniform_real_distribution<double>(0.6, 1.4)(random);
         ++number;
         w.submit(s, static_cast<Micros>(static_cast<double>(l.run) * spread), l.fetch);
+        if (l.lasts == 0) return;
+        const double rate = 1 / static_cast<double>(l.lasts);
+        const auto lasts = static_cast<Micros>(std::exponential_distribution<double>(rate)(random));
+        w.at(w.now() + lasts, [&w, ref = s.ref] { w.cancel(ref); });
     };
     for (const auto& l : e.loads) {
         for (int i = 0; i < l.initial; ++i) w.at(2 * kSecond + i * 20 * kMillisecond, [&] { submit(l); });
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -18,6 +18,7 @@
     JobSpec job;
     Micros run = 0;
     Micros fetch = 0;
+    Micros lasts = 0;  // on average until its user cancels it; 0: never
     double per_minute = 0;
     int initial = 0;
     int images = 5;                     // that its jobs take turns with
