--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -113,6 +113,7 @@
     w.run(5 * kSecond);
     for (int i = 1; i <= 6; ++i) w.submit(w.job(i, JobKind::Array, 3), 3 * kSecond);
     w.run(kSecond);
+    w.cloud().down = true;
     for (const auto& m : w.machine_names()) w.kill_machine(m);
     w.run(250 * kSecond);
     const Acceptance a = judge(w.fates(), w.settings.teams, w.now());
