The order of the queue and the floors inside a team's limit are a pure function

Strict rank inside one team's limit starves: where its live services hold most of it, high work takes the rest, and large normal jobs never begin. turns() orders the queue as before, keeps a floor of what live work leaves for normal work that waits, and gives what has waited for two minutes without beginning a turn of its own before the other batch, for which the limit is kept.

--- /dev/null
+++ b/src/planning/priority.cpp
@@ -0,0 +1,147 @@
+#include "planning/priority.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cottonway::planning {
+
+namespace {
+
+using policy::Tier;
+
+/// Of a team's limit, in cores and cards: what is kept for whom.
+struct Kept {
+    Resources limit;
+    Resources floor;    // part of what live work leaves
+    Resources half;     // of the same; what needs more than that to begin is large
+    Resources live;     // live work that waits
+    Resources batch;    // still due to tier Batch
+    Resources overdue;  // what the job needs to begin that is overdue and comes first
+    const Queued* first = nullptr;
+};
+
+Resources larger(const Resources& a, const Resources& b) {
+    return {std::max(a.cores, b.cores), std::max(a.cards, b.cards), 0};
+}
+
+Resources not_negative(const Resources& r) {
+    return larger(r, {});
+}
+
+bool within(const Resources& need, const Resources& room) {
+    return need.cores <= room.cores && need.cards <= room.cards;
+}
+
+Resources used_by(const TeamUse& use, Tier tier) {
+    auto it = use.used.find(tier);
+    return it == use.used.end() ? Resources{} : it->second;
+}
+
+/// Among the overdue the large ones go first, since the others find their part by the floors as well; then
+/// the longest wait.
+auto urgency(const Queued& q, const Kept& k) {
+    return std::tuple(within(q.task, k.half), -q.age, q.index);
+}
+
+bool overdue(const Queued& q, const policy::Priority& priority) {
+    return q.tier != Tier::Live && !q.begun && q.age >= priority.begin_within;
+}
+
+/// What tier Batch is due and does not have, while a higher tier may take it: its floor of what live work
+/// leaves, or one start where that is more and fits into half.
+Resources owed_to_batch(const TeamUse& use, const Kept& k, const std::vector<const Queued*>& waiting) {
+    Resources waits;
+    const Queued* least = nullptr;
+    auto size = [](const Queued& q) { return std::tuple(q.task.cores, q.task.cards, q.index); };
+    for (const Queued* q : waiting) {
+        if (q->lacks_room || !within(q->task, k.half)) continue;
+        waits += q->waits;
+        if (!least || size(*q) < size(*least)) least = q;
+    }
+    if (!least) return {};
+    const Resources due = larger(k.floor, least->task);
+    const Resources used = used_by(use, Tier::Batch);
+    const Resources could = used + waits;
+    return not_negative(Resources{std::min(due.cores, could.cores), std::min(due.cards, could.cards), 0} -
+                        used);
+}
+
+std::map<std::string, Kept> kept_by_team(const std::vector<Queued>& queue,
+                                         const std::map<std::string, TeamUse>& teams,
+                                         const policy::Priority& priority) {
+    std::map<std::string, Kept> kept;
+    auto part = [&](Milli of) { return static_cast<Milli>(static_cast<double>(of) * priority.floor); };
+    for (const auto& [team, use] : teams) {
+        Kept& k = kept[team];
+        const Resources rest = not_negative(use.limit - used_by(use, Tier::Live));
+        k.limit = use.limit;
+        k.floor = {part(rest.cores), part(rest.cards), 0};
+        k.half = {rest.cores / 2, rest.cards / 2, 0};
+    }
+    std::map<std::string, std::vector<const Queued*>> batch;
+    for (const Queued& q : queue) {
+        Kept& k = kept[q.team];
+        if (q.tier == Tier::Live && !q.lacks_room) k.live += q.waits;
+        if (q.tier == Tier::Batch) batch[q.team].push_back(&q);
+        if (overdue(q, priority) && !q.lacks_room && (!k.first || urgency(q, k) < urgency(*k.first, k)))
+            k.first = &q;
+    }
+    for (auto& [team, k] : kept) {
+        auto use = teams.find(team);
+        if (use == teams.end()) continue;
+        k.batch = owed_to_batch(use->second, k, batch[team]);
+        // What does not fit beside live work has nothing kept for it: it would never begin.
+        const Resources rest = k.limit - used_by(use->second, Tier::Live) - k.live;
+        if (k.first && within(k.first->task, rest)) k.overdue = k.first->task;
+    }
+    return kept;
+}
+
+Turn turn_of(const Queued& q, const Kept& k, bool is_overdue) {
+    Resources most = k.limit;
+    if (q.tier != Tier::Live) most -= k.live;
+    const bool own = k.first == &q && is_overdue;
+    if (q.tier != Tier::Live && !own) {
+        Resources others = k.overdue;
+        // The job that is overdue may be one of those that the floor is for.
+        if (q.tier < Tier::Batch && !is_overdue) {
+            const bool same = k.first && k.first->tier == Tier::Batch;
+            others = same ? larger(others, k.batch) : others + k.batch;
+        }
+        most -= others;
+    }
+    return {q.index, is_overdue, most.cores, most.cards};
+}
+
+}  // namespace
+
+std::vector<Turn> turns(const std::vector<Queued>& queue, const std::map<std::string, TeamUse>& teams,
+                        const policy::Priority& priority) {
+    const auto kept = kept_by_team(queue, teams, priority);
+    std::vector<const Queued*> live, late, rest;
+    for (const Queued& q : queue) {
+        (q.tier == Tier::Live ? live : rest).push_back(&q);
+        if (overdue(q, priority)) late.push_back(&q);
+    }
+    // Highest tier first, then rank, then what is guaranteed, then the nearest deadline, then what can still
+    // make its aim. Among equals the least work left by age.
+    auto before = [](const Queued* a, const Queued* b) {
+        auto key = [](const Queued& q) {
+            return std::tuple(q.tier, q.rank, !q.within_guarantee, q.due_ms, q.late, q.weight, q.index);
+        };
+        return key(*a) < key(*b);
+    };
+    std::sort(live.begin(), live.end(), before);
+    std::sort(late.begin(), late.end(), [&](const Queued* a, const Queued* b) {
+        return urgency(*a, kept.at(a->team)) < urgency(*b, kept.at(b->team));
+    });
+    std::sort(rest.begin(), rest.end(), before);
+    std::vector<Turn> order;
+    order.reserve(live.size() + late.size() + rest.size());
+    for (const Queued* q : live) order.push_back(turn_of(*q, kept.at(q->team), false));
+    for (const Queued* q : late) order.push_back(turn_of(*q, kept.at(q->team), true));
+    for (const Queued* q : rest) order.push_back(turn_of(*q, kept.at(q->team), false));
+    return order;
+}
+
+}  // namespace cottonway::planning
