Demand for machines is capped by what each team may run at once

The sum of all that waits was asked for, though a team at its limit can't use it. Spot machines are still wanted up to the sum of the limits.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -204,25 +204,36 @@
     for (const auto& [name, b] : booting_)
         if (const auto* type = replica_.types.find(b.type)) add(type->size.cores, b.spot);
     // Teams without a guarantee take what is left over: nothing is rented for them.
+    struct Demand {
+        Milli limit, ordinary = 0, flexible = 0;
+    };
     Milli limit = 0;
-    std::set<std::string> guests;
+    std::map<std::string, Demand> teams;
     for (const auto& t : s.teams) {
-        if (t.guarantee.cores == 0) guests.insert(t.name);
+        if (t.guarantee.cores > 0) teams.emplace(t.name, Demand{t.limit.cores});
         limit += t.limit.cores < kNoLimit ? t.limit.cores : t.guarantee.cores;
     }
-    Milli ordinary = 0, flexible = 0;
     for (const auto& [ref, job] : replica_.jobs.live()) {
-        if (job.cancelled || !job.open || guests.count(job.team)) continue;
+        auto team = teams.find(job.team);
+        if (job.cancelled || !job.open || team == teams.end()) continue;
+        Demand& demand = team->second;
         // One that is taken to be broken is tried with one task at a time.
         const int tasks = job.held ? 1 : std::max(job.tasks - job.done, 0);
         const Milli cores = job.need.cores * tasks;
         if (!job.spot) {
-            ordinary += cores;
+            demand.ordinary += cores;
             continue;
         }
         // What waits behind other work needs less than a core for each of its own: it takes turns.
         const Milli running = std::min(job.need.cores * job.running, cores);
-        flexible += running + (cores - running) / 2;
+        demand.flexible += running + (cores - running) / 2;
+    }
+    // What a team may not run at once needs no machines at once.
+    Milli ordinary = 0, flexible = 0;
+    for (const auto& [name, d] : teams) {
+        const Milli first = std::min(d.ordinary, d.limit);
+        ordinary += first;
+        flexible += std::min(d.flexible, d.limit - first);
     }
     const Milli spot = balance_.total - balance_.ordinary;
     const auto passed = static_cast<double>(weighed_at_ > 0 ? now - weighed_at_ : 0);
