--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -147,8 +147,13 @@
         used += m->booked.cores - m->idle_work;
         idle += m->idle_work;
     }
+    // What waits counts as far as its team's limit lets it start: the rest takes no room.
+    std::map<std::string, Milli> wanted;
     for (const auto& [ref, job] : ledger_.jobs)
-        if (job->spec.spot || spot_machines_ == 0) used += job->spec.need.cores * job->waiting();
+        if (job->spec.spot || spot_machines_ == 0)
+            wanted[job->spec.team] += job->spec.need.cores * job->waiting();
+    for (const auto& [team, cores] : wanted)
+        used += std::clamp<Milli>(context_.share(domain_, team).cores - ledger_.used(team).cores, 0, cores);
     const auto passed = static_cast<double>(peak_use_at_ > 0 ? now - peak_use_at_ : 0);
     peak_use_at_ = now;
     peak_use_ = std::max(static_cast<double>(std::min(used, size)),
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_LT(a.unanswered, kAnsweredWithin);
 }
 
+/// Idle work leaves room for what waits, but not for what its team's limit keeps from starting.
+TEST(Acceptance, WhatALimitKeepsWaitingTakesNoRoomFromIdleWork) {
+    World w(6);
+    for (int i = 0; i < 8; ++i) w.add_machine("small", i % 2 ? "b" : "a");
+    w.start_nodes(3);
+    w.run(6 * kSecond);
+    w.submit(w.job(1, JobKind::Array, 150), 90 * kSecond);  // 24 at once
+    w.run(10 * kSecond);
+    JobSpec guests = w.job(2, JobKind::Array, 4);
+    guests.team = "guests";
+    guests.rank = Rank::Low;
+    w.submit(guests, 3 * kSecond);
+    w.run(40 * kSecond);
+    EXPECT_EQ(w.told(guests.ref), "done") << w.story();
+    EXPECT_TRUE(w.broken.empty());
+}
+
 TEST(Acceptance, ExperimentsLeaveTimeAfterTheirLastFault) {
     const std::string path = testing::TempDir() + "short.toml";
     auto write = [&](const std::string& head) {
