Moves are carried out: the plan is written ahead, and whoever takes the domain goes on

Need: what is stopped to mend balance or to make room has to start again exactly once, whoever ends meanwhile.

Change: Mover, which each Owner has, looks once a second where the policy asks for moves, writes c/plan/DOMAIN on the domain's mark and its own with what is left over of the changes, and only then stops. Placement prefers a move's destination and leaves kept room to whom it is kept for. cottonway verify knows the record.

Without a policy nothing is written.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -173,6 +173,18 @@
     wake();
 }
 
+Micros Controller::steady_for() const {
+    const Members& members = replica_.members;
+    if (feed_.confirmed_ago() > 2 * kSecond) return 0;
+    for (const auto& [name, domain] : members.domains())
+        if (!members.alive(domain.holder)) return 0;
+    Micros since = 0;
+    for (const auto& peer : settings_.peers)
+        since =
+            std::max({since, members.alive_since(peer.name), members.silent_since(peer.name).value_or(0)});
+    return host_.now() - since;
+}
+
 /// Once, for all processes of this node that are still to come.
 void Controller::announce_format() {
     const std::uint64_t reads = settings_.ops.history_apart ? format::kHistory : format::kPipelines;
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -58,6 +58,10 @@
         replica_.take(keys::job + ref, &value, mark);
     }
     std::optional<Micros> peer_ended(std::size_t peer) const override;
+    const PlanBook::Stored* stored_plan(const std::string& domain) const override {
+        return replica_.plans.find(domain);
+    }
+    Micros steady_for() const override;
     void edit_machine(const std::string& domain, const std::string& machine, MachineEdit edit,
                       std::function<void(bool)> done) override {
         leases_.edit(domain, machine, edit, std::move(done));
--- /dev/null
+++ b/src/core/mover.hpp
@@ -0,0 +1,83 @@
+#pragma once
+// Mover: carries out a domain's plan of moves and gathered room (planning/moves.hpp). It looks at the domain
+// once a second where the policy asks for moves, writes the plan ahead as c/plan/DOMAIN, and only then has
+// tasks stopped. What its predecessor began it ends or takes back. It writes nothing while there is nothing
+// to move.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ledger.hpp"
+#include "core/planner.hpp"
+#include "planning/moves.hpp"
+#include "planning/zones.hpp"
+#include "state/store.hpp"
+
+namespace cottonway {
+
+class OwnerContext;
+
+class Mover {
+  public:
+    Mover(OwnerContext& context, std::string domain, Revision domain_mark, const Ledger& ledger,
+          Planner::Domain& of);
+    ~Mover();
+
+    /// Reads what is stored. To be called once all of the domain is loaded.
+    void adopt();
+    /// What follows from time passing; called about ten times a second, once the domain is active.
+    void tick();
+
+    /// Room of a machine that is kept for others, as far as the job does not go before them.
+    Resources kept_from(const Job& job, const Machine& m) const;
+    /// Whether room is kept for the job anywhere.
+    bool keeps_for(const Job& job) const;
+    /// Where a task in a move had better start, nullptr: anywhere.
+    const Machine* destination(const Job& job, int task) const;
+    const planning::Plan& plan() const { return plan_; }
+
+    /// The domain as it is now, with the room that the plan keeps.
+    planning::View view() const;
+
+  private:
+    class Books;
+    bool wanted() const;
+    bool heard_all() const;
+    void look_at_zones();
+    void propose();
+    void carry_on();
+    void stop(const std::vector<planning::Move>& moves);
+    bool may_stop(const planning::Move& move, const Job& job) const;
+    bool others_run(const Job& job, int task) const;
+    std::vector<std::string> troubled() const;
+
+    void write();
+    void written(const CommitResult& result, bool dropped);
+    void read_again();
+
+    OwnerContext& context_;
+    std::string domain_;
+    Revision domain_mark_;
+    const Ledger& ledger_;
+    Planner::Domain& of_;
+    Micros since_;  // this process holds the domain
+    planning::Plan plan_;
+    planning::ZoneWatch zones_;
+    Revision record_ = 0;  // mark of the record as we know it, 0: there is none
+    Revision known_ = 0;   // up to which change of it we know all
+    bool in_flight_ = false;
+    bool unsure_ = false;  // the outcome of a write: nothing is stopped or written until it is read again
+    Micros not_before_ = 0;
+    Micros looked_at_ = 0;
+    struct Moved {
+        Micros last = 0;
+        std::vector<Micros> mended;  // when one was moved into balance, the last ten minutes
+    };
+    std::map<std::string, Moved> moved_;  // by job
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cottonway
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -20,7 +20,8 @@
       mark_(mark),
       former_end_(former_authority_end),
       taken_at_(context.host().now()),
-      planner_(context, domain_, ledger_, *this) {}
+      planner_(context, domain_, ledger_, *this),
+      mover_(context, domain_, mark, ledger_, *this) {}
 
 Owner::~Owner() {
     *alive_ = false;
@@ -138,6 +139,7 @@
     std::size_t bound = 0;
     for (const auto& [name, m] : ledger_.machines) bound += m->tasks.size();
     const Micros now = context_.host().now();
+    mover_.adopt();
     startup_.began(now, now - taken_at_, ledger_.jobs.size(), ledger_.machines.size(), bound);
     spdlog::info("domain {}: active with {} jobs and {} machines, token {}", domain_, ledger_.jobs.size(),
                  ledger_.machines.size(), mark_);
@@ -180,6 +182,7 @@
     if (active_) {
         drop_left_over();
         move_out_of_history();
+        mover_.tick();
     }
     if (std::any_of(ledger_.jobs.begin(), ledger_.jobs.end(), [now](const auto& j) {
             const Job& job = *j.second;
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -13,11 +13,13 @@
 
 #include "core/host.hpp"
 #include "core/ledger.hpp"
+#include "core/mover.hpp"
 #include "core/planner.hpp"
 #include "peer/messages.hpp"
 #include "recovery/squaring.hpp"
 #include "recovery/startup.hpp"
 #include "replica/pipelines.hpp"
+#include "replica/plans.hpp"
 #include "settings/settings.hpp"
 #include "state/records.hpp"
 #include "state/store.hpp"
@@ -49,6 +51,11 @@
     virtual void settled(const std::string& ref, const Value& value, Revision mark) = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
+    /// What a domain has begun and not ended, as last read; nullptr: nothing ever.
+    virtual const PlanBook::Stored* stored_plan(const std::string& domain) const = 0;
+    /// How long no node has come or ended and each domain has had a holder that is alive, as far as the store
+    /// tells just now; 0: not now.
+    virtual Micros steady_for() const = 0;
 
     enum class MachineEdit { Raise, Retire, RetireNow };
     /// Rewrites the block record that lists the machine; the outcome arrives as news of the record.
@@ -120,6 +127,7 @@
     std::vector<std::string> to_renounce(std::size_t peer) const;
     void renounced(std::size_t peer, const std::string& machine, Promise promise);
     Value status() const;
+    const Mover& mover() const { return mover_; }
     /// Why a job of the domain waits; null if it is none.
     Value explain(const std::string& ref) const;
 
@@ -135,6 +143,11 @@
     bool usable(const Machine& m) const override;
     void bound(Job& job, int task) override;
     void stop(Slot& slot, Micros grace) override;
+    Resources kept_from(const Job& job, const Machine& m) const override { return mover_.kept_from(job, m); }
+    bool keeps_for(const Job& job) const override { return mover_.keeps_for(job); }
+    const Machine* destination(const Job& job, int task) const override {
+        return mover_.destination(job, task);
+    }
 
     bool lease_over(const Machine& m) const;
 
@@ -210,6 +223,7 @@
     recovery::Startup startup_;
     Ledger ledger_;
     Planner planner_;
+    Mover mover_;
     std::uint64_t next_serial_ = 1;
     std::set<std::string> dirty_;
     std::vector<Condition> left_over_;  // records under c/active/ of jobs that are over, to be dropped
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -73,6 +73,7 @@
 
 /// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
 bool Planner::hopeless(const Job& job) const {
+    if (of_.keeps_for(job)) return false;  // others may have failed for that very room
     const JobSpec& s = job.spec;
     return std::any_of(no_room_.begin(), no_room_.end(), [&](const NoRoom& n) {
         return n.spot == s.spot && n.zone == s.zone && n.types == s.types && n.need.fits(s.need);
@@ -164,7 +165,7 @@
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
-        c.booked = m->booked;
+        c.booked = m->booked + of_.kept_from(job, *m);
         c.tasks = static_cast<int>(m->tasks.size());
         for (const auto& image : m->images)
             if (image.name == job.spec.image) {
@@ -343,16 +344,20 @@
     return {zones.begin(), zones.end()};
 }
 
-/// In the zones where its rule wants the next task; `give_way`: else where there is room for it, as far as
-/// the rule admits that.
+/// In the zones where its rule wants the next task, on the `better` machine if there is one with room;
+/// `give_way`: else where there is room for it, as far as the rule admits that.
 std::ptrdiff_t Planner::place_by_zone(const Job& job, const Zoning& zoning,
                                       const std::map<std::string, int>& per_zone,
                                       const std::vector<Candidate>& candidates,
-                                      const std::vector<Machine*>& machines, bool ready_only, bool give_way) {
+                                      const std::vector<Machine*>& machines, bool ready_only, bool give_way,
+                                      const Machine* better) {
     const auto asked = choose_zones(job, zoning, per_zone);
     const bool sharing_matters = asked.machine_most < std::numeric_limits<int>::max();
-    const auto chosen = place_for(job, open_in(asked, job, per_zone, candidates, machines, sharing_matters),
-                                  machines, ready_only);
+    const auto open = open_in(asked, job, per_zone, candidates, machines, sharing_matters);
+    for (const auto& c : open)
+        if (machines[c.index] == better && job.spec.need.fits(c.size - c.booked))
+            return static_cast<std::ptrdiff_t>(c.index);
+    const auto chosen = place_for(job, open, machines, ready_only);
     if (chosen >= 0 || !zoning.rule || !give_way) return chosen;
     for (const bool apart : {true, false}) {
         if (!apart && (asked.strict || !sharing_matters)) break;
@@ -396,6 +401,10 @@
             all = all && slot.retry_at > now;
             continue;
         }
+        // In the first moments of a holder, what is moving waits until its destination has been heard.
+        const Machine* better = of_.destination(job, static_cast<int>(i));
+        if (better && better->seq == 0 && now - better->known_since < 2 * context_.settings().report_every)
+            continue;
         // A part must not outgrow its value; the next ones have room.
         if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) {
             i = (i / job.part_tasks + 1) * job.part_tasks - 1;
@@ -411,7 +420,8 @@
         }
         std::ptrdiff_t chosen = -1;
         for (;;) {
-            chosen = place_by_zone(job, zoning, per_zone, candidates, machines, ready_only, tried_relayed);
+            chosen =
+                place_by_zone(job, zoning, per_zone, candidates, machines, ready_only, tried_relayed, better);
             if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
             // Better a machine that only others reach than none.
             auto more = candidates_for(job, true, machines);
@@ -566,7 +576,7 @@
 std::optional<double> Planner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                         bool hurries, std::vector<Victim>& taken) const {
     const Micros now = context_.host().now();
-    Resources room = m.type->size - m.booked;
+    Resources room = m.type->size - m.booked - of_.kept_from(job, m);
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
     std::vector<Victim> victims;
     for (const auto& [other, task] : m.tasks) {
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -31,6 +31,12 @@
         virtual void bound(Job& job, int task) = 0;
         /// Tells a task to stop, with that much time to save.
         virtual void stop(Slot& slot, Micros grace) = 0;
+        /// Room of a machine that is kept for others than the job.
+        virtual Resources kept_from(const Job& job, const Machine& m) const = 0;
+        /// Whether room is kept for the job anywhere.
+        virtual bool keeps_for(const Job& job) const = 0;
+        /// Where a task that is being moved had better start, nullptr: anywhere.
+        virtual const Machine* destination(const Job& job, int task) const = 0;
     };
     Planner(OwnerContext& context, std::string domain, Ledger& ledger, Domain& of);
 
@@ -88,7 +94,8 @@
     std::ptrdiff_t place_by_zone(const Job& job, const Zoning& zoning,
                                  const std::map<std::string, int>& per_zone,
                                  const std::vector<Candidate>& candidates,
-                                 const std::vector<Machine*>& machines, bool ready_only, bool give_way);
+                                 const std::vector<Machine*>& machines, bool ready_only, bool give_way,
+                                 const Machine* better);
     bool hopeless(const Job& job) const;
     void remember_no_room(const Job& job);
 
--- a/src/recovery/verify.cpp
+++ b/src/recovery/verify.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "planning/moves.hpp"
 #include "policy/policy.hpp"
 #include "replica/formats.hpp"
 #include "state/pieces.hpp"
@@ -65,6 +66,9 @@
                 r[0].get<Milli>() < 0 || r[1].get<Milli>() < 0)
                 damage(key, fmt::format("the share of team {} does not parse and grants nothing", team));
         for (const auto& [team, r] : parse_shares(*value)) sums_[team] += r;
+    } else if (starts_with(key, keys::plan)) {
+        ++kinds_["plans"];
+        if (!planning::Plan().take(*value)) damage(key, "does not parse: nothing of it is carried on");
     } else if (starts_with(key, keys::format)) {
         ++kinds_["formats"];
         const auto reads = wire::count(*value, "reads").value_or(0);
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -66,6 +66,8 @@
     } else if (starts_with(key, keys::share)) {
         shares.take(rest(keys::share), value, mark);
         listener_.on_news();
+    } else if (starts_with(key, keys::plan)) {
+        plans.take(rest(keys::plan), value, mark);
     } else if (starts_with(key, keys::format)) {
         if (value && formats.take(rest(keys::format), *value)) listener_.on_format();
     } else if (key == keys::policy) {
@@ -112,6 +114,8 @@
         if (!seen.count(keys::live + name) && name != settings_.node) missing.push_back(keys::live + name);
     for (const auto& [id, block] : blocks.all())
         if (!seen.count(keys::block + id)) missing.push_back(keys::block + id);
+    for (const auto& [domain, stored] : plans.all())
+        if (!seen.count(keys::plan + domain)) missing.push_back(keys::plan + domain);
     for (const auto& [ref, job] : jobs.live())
         for (const auto& [part, rest] : job.parts)
             if (const auto key = keys::part + ref + "/" + std::to_string(part); !seen.count(key))
--- a/src/replica/replica.hpp
+++ b/src/replica/replica.hpp
@@ -12,6 +12,7 @@
 #include "replica/formats.hpp"
 #include "replica/jobs.hpp"
 #include "replica/members.hpp"
+#include "replica/plans.hpp"
 #include "replica/policies.hpp"
 #include "replica/shares.hpp"
 
@@ -64,6 +65,7 @@
     FormatBook formats;
     BlockBook blocks;
     ShareBook shares;
+    PlanBook plans;
     PolicyBook policies;
     JobBook jobs;
 
--- a/src/state/records.hpp
+++ b/src/state/records.hpp
@@ -27,6 +27,8 @@
 inline const std::string history = "c/history";
 inline const std::string part = "c/part/";
 inline const std::string format = "c/format/";
+// Moves and gathered room of a domain. Only its holder reads it; the version before ignores it.
+inline const std::string plan = "c/plan/";
 // The operators' policy (policy/policy.hpp); the version before ignores it.
 inline const std::string policy = "c/policy";
 // Before everything else in order, so that a list tells of the pieces before the records that name them.
