--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -87,6 +87,7 @@
 
 /// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
 bool Planner::hopeless(const Job& job) const {
+    if (of_.keeps_for(job)) return false;  // others may have failed for that very room
     return std::any_of(no_room_.begin(), no_room_.end(), [&](const Room& r) { return r.within(job.spec); });
 }
 
@@ -216,7 +217,7 @@
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
-        c.booked = m->booked;
+        c.booked = m->booked + of_.kept_from(job, *m);
         c.tasks = static_cast<int>(m->tasks.size());
         for (const auto& image : m->images)
             if (image.name == job.spec.image) {
@@ -497,17 +498,28 @@
     return {zones.begin(), zones.end()};
 }
 
-/// In the zones where its rule wants the next task; `give_way`: else where there is room for it, as far as
-/// the rule admits that.
+std::ptrdiff_t Planner::at(const Machine* better, const Job& job, const std::vector<const Candidate*>& open,
+                           const std::vector<Machine*>& machines) {
+    if (!better) return -1;
+    for (const auto* c : open)
+        if (machines[c->index] == better && job.spec.need.fits(c->size - c->booked))
+            return static_cast<std::ptrdiff_t>(c->index);
+    return -1;
+}
+
+/// In the zones where its rule wants the next task, on the `better` machine if there is one with room;
+/// `give_way`: else where there is room for it, as far as the rule admits that.
 std::ptrdiff_t Planner::place_by_zone(const Job& job, const Zoning& zoning,
                                       const std::map<std::string, int>& per_zone,
                                       std::vector<Candidate>& candidates,
-                                      const std::vector<Machine*>& machines, bool ready_only, bool give_way) {
+                                      const std::vector<Machine*>& machines, bool ready_only, bool give_way,
+                                      const Machine* better) {
     const auto asked = choose_zones(job, zoning, per_zone);
     const bool sharing_matters = asked.machine_most < std::numeric_limits<int>::max();
     auto place_in = [&](const planning::ZoneChoice& choice, bool apart) {
         const auto open = open_in(choice, job, per_zone, candidates, machines, apart);
-        return place_for(job, parts_of(job, open, machines, ready_only));
+        const auto wished = at(better, job, open, machines);
+        return wished >= 0 ? wished : place_for(job, parts_of(job, open, machines, ready_only));
     };
     const auto chosen = place_in(asked, sharing_matters);
     if (chosen >= 0 || !give_way) return chosen;
@@ -559,6 +571,10 @@
             all = all && slot.retry_at > now;
             continue;
         }
+        // In the first moments of a holder, what is moving waits until its destination has been heard.
+        const Machine* better = of_.destination(job, static_cast<int>(i));
+        if (better && better->seq == 0 && now - better->known_since < 2 * context_.settings().report_every)
+            continue;
         // A part must not outgrow its value; the next ones have room.
         if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) {
             i = (i / job.part_tasks + 1) * job.part_tasks - 1;
@@ -575,8 +591,8 @@
         std::ptrdiff_t chosen = -1;
         for (;;) {
             if (zoning.rule) {
-                chosen =
-                    place_by_zone(job, zoning, per_zone, candidates, machines, ready_only, tried_relayed);
+                chosen = place_by_zone(job, zoning, per_zone, candidates, machines, ready_only, tried_relayed,
+                                       better);
             } else {
                 // Where zones play no part, only what is bound changes the choice (see below).
                 if (zoned || parts.empty()) {
@@ -592,7 +608,8 @@
                     }
                     parts = parts_of(job, open, machines, ready_only);
                 }
-                chosen = place_for(job, parts);
+                chosen = at(better, job, open, machines);
+                if (chosen < 0) chosen = place_for(job, parts);
             }
             if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
             // Better a machine that only others reach than none.
@@ -701,7 +718,7 @@
     const bool hurries = !aims.empty() && now - job.waiting_since < aims.front();
     if (preemptions_left_ <= 0 || !quota_allows(job, 1)) return;
     const bool ready_only = holds_out(job);
-    if (!ready_only && in_vain(job, may_waste, reclaims)) {
+    if (!ready_only && !of_.keeps_for(job) && in_vain(job, may_waste, reclaims)) {
         job.no_holding_out = true;
         return;
     }
@@ -779,7 +796,7 @@
 /// what would have to be stopped, nothing if enough is stopping already.
 std::optional<double> Planner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                         bool hurries, std::vector<Victim>& taken) const {
-    Resources room = m.type->size - m.booked;
+    Resources room = m.type->size - m.booked - of_.kept_from(job, m);
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
     std::vector<std::pair<Job*, Slot*>> may_stop;
     Resources most;
