--- a/src/core/mover.cpp
+++ b/src/core/mover.cpp
@@ -238,7 +238,7 @@
         gathers.push_back(room.gather);
         moves.insert(moves.end(), room.moves.begin(), room.moves.end());
     }
-    // TODO(merge): for (auto& g : planning::gather(now, policy)) gathers.push_back(g);
+    // planning::gather (branch priority) adds to `gathers` here.
     if (moves.empty() && gathers.empty()) return;
     const std::size_t added =
         plan_.add(moves, gathers, context_.host().wall_ms(), policy.budgets, Books(*this));
--- a/tests/moves_world_test.cpp
+++ b/tests/moves_world_test.cpp
@@ -316,6 +316,21 @@
     }
 }
 
+TEST(RoomInTheWorld, RoomThatIsKeptIsNotTakenByWhatComesMeanwhile) {
+    Room r(6);
+    ASSERT_TRUE(r.until([&] {
+        const auto* p = plan_at(r.w, r.w.holder());
+        return p && !p->kept().empty();
+    }));
+    r.w.submit(r.with_cards(4, 4'000), 300 * kSecond);
+    r.w.run(10 * kSecond);
+    EXPECT_EQ(r.w.starts(kLarge), 1) << r.w.story();
+    EXPECT_EQ(r.w.starts("req-000004"), 0) << "it waits its turn\n" << r.w.story();
+    r.w.run(30 * kSecond);
+    EXPECT_EQ(r.w.starts("req-000004"), 1) << r.w.story();
+    r.expect_at_rest("with another one", 1);
+}
+
 TEST(RoomInTheWorld, TheLargeJobIsCancelledAtEveryStepAndNothingIsKept) {
     for (const auto& [name, there] : room_steps()) {
         Room r(5);
