Bounds read as in the settings; zone traces keep machines that stand empty

One reader of tables had changed the words of an error, and a strict service found its zone's machines returned as idle before the zone was back.

Change: 'must lie between' everywhere; the traces' machines stay for 600 s.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -36,13 +36,13 @@
 template <class T>
 void within(const std::string& key, T value, T low, T high) {
     // Not (value < low || value > high), which a number that is none would pass.
-    if (!(value >= low && value <= high)) bad(key, fmt::format("must be from {} to {}", low, high));
+    if (!(value >= low && value <= high)) bad(key, fmt::format("must lie between {} and {}", low, high));
 }
 
 void seconds_within(const std::string& key, Micros value, Micros low, Micros high) {
     if (value < low || value > high)
-        bad(key,
-            fmt::format("must be from {} to {} seconds", static_cast<double>(low) / 1e6, high / kSecond));
+        bad(key, fmt::format("must lie between {} and {} seconds", static_cast<double>(low) / 1e6,
+                             high / kSecond));
 }
 
 template <class Rule>
--- a/tests/priority_test.cpp
+++ b/tests/priority_test.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <set>
 
+#include "settings/settings.hpp"
+
 namespace cottonway::test {
 namespace {
 
--- a/tests/zones_placement_test.cpp
+++ b/tests/zones_placement_test.cpp
@@ -30,6 +30,7 @@
     static Settings settings(const ZoneRule& rule) {
         Settings s = small_site();
         s.zones = {"a", "b", "c"};
+        s.ops.idle_return = 600 * kSecond;  // what stands empty stays
         s.ops.policy.emplace();
         s.ops.policy->revision = 1;
         s.ops.policy->zones = {rule};
