Whether a job allows a machine's type, zone and kind is asked in one place

Need: placement, zones, cards and gathering each wrote the same three checks. planning/constraints.hpp has them now; behaviour is unchanged.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -9,6 +9,7 @@
 
 #include "core/owner.hpp"
 #include "log/log.hpp"
+#include "planning/constraints.hpp"
 
 namespace cottonway {
 
@@ -92,10 +93,7 @@
 }
 
 bool Planner::allowed(const Job& job, const Machine& m) {
-    const JobSpec& s = job.spec;
-    if (m.spot && !s.spot) return false;
-    if (s.zone && *s.zone != m.zone) return false;
-    return !s.types || std::find(s.types->begin(), s.types->end(), m.type_name) != s.types->end();
+    return planning::may_use(job.spec, m.type_name, m.zone, m.spot);
 }
 
 /// What the team would use with so many more tasks of the job.
--- a/src/planning/cards.cpp
+++ b/src/planning/cards.cpp
@@ -7,6 +7,8 @@
 #include <tuple>
 #include <utility>
 
+#include "planning/constraints.hpp"
+
 namespace cottonway::planning {
 
 namespace {
@@ -189,10 +191,7 @@
     bool allowed(std::size_t job, std::size_t machine) const {
         const JobSpec& spec = view_.jobs[job].spec;
         const MachineView& m = view_.machines[machine];
-        if (!m.usable || (m.spot && !spec.spot)) return false;
-        if (spec.zone && *spec.zone != m.zone) return false;
-        if (spec.types && std::find(spec.types->begin(), spec.types->end(), m.type) == spec.types->end())
-            return false;
+        if (!m.usable || !may_use(spec, m.type, m.zone, m.spot)) return false;
         const policy::ZoneRule* rule = policy_.zone_rule(spec);
         return !rule || rule->allowed.empty() ||
                std::find(rule->allowed.begin(), rule->allowed.end(), m.zone) != rule->allowed.end();
--- a/src/planning/priority.cpp
+++ b/src/planning/priority.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "planning/constraints.hpp"
+
 namespace cottonway::planning {
 
 namespace {
@@ -116,8 +118,7 @@
 }
 
 bool allowed(const JobSpec& s, const MachineView& m) {
-    if (!m.usable || (m.spot && !s.spot) || (s.zone && *s.zone != m.zone)) return false;
-    return !s.types || std::find(s.types->begin(), s.types->end(), m.type) != s.types->end();
+    return m.usable && may_use(s, m.type, m.zone, m.spot);
 }
 
 /// In how long the machine has room for one more such task, beside `taken`, if what runs there is left alone;
--- a/src/planning/zones.cpp
+++ b/src/planning/zones.cpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <tuple>
 
+#include "planning/constraints.hpp"
+
 namespace cottonway::planning {
 
 namespace {
@@ -219,17 +221,11 @@
         });
     }
 
-    static bool may_use(const JobSpec& job, const std::string& zone, const std::string& type, bool spot) {
-        if (spot && !job.spot) return false;
-        if (job.zone && *job.zone != zone) return false;
-        return !job.types || has(*job.types, type);
-    }
-
     Zones standing(const JobSpec& job) const {
         std::set<std::string> zones;
         for (const auto& [kind, machines] : open_) {
             const auto& [zone, type, spot] = kind;
-            if (may_use(job, zone, type, spot)) zones.insert(zone);
+            if (may_use(job, type, zone, spot)) zones.insert(zone);
         }
         return {zones.begin(), zones.end()};
     }
@@ -314,7 +310,7 @@
         using Key = std::tuple<int, int, Milli, std::uint64_t, std::string_view>;
         std::optional<std::pair<Key, std::size_t>> best;
         for (const auto& [kind, machines] : open_) {
-            if (std::get<0>(kind) != zone || !may_use(job, zone, std::get<1>(kind), std::get<2>(kind)))
+            if (std::get<0>(kind) != zone || !may_use(job, std::get<1>(kind), zone, std::get<2>(kind)))
                 continue;
             for (const std::size_t i : machines) {
                 if (!job.need.fits(room_[i]) || (keep_off && keep_off->count(i))) continue;
