The simulated world has the four further troubles: late transactions and reports, deaf machines, a node cut off

Change: World gets late_writes (no answer, carried out 2 to 12 s later after newer ones), late_reports (copies up to two and a half leases late), deafen (answers and commands to a machine are lost, its reports arrive) and cut_off (store and other controllers), and tells who leads.

--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -33,6 +33,8 @@
     void set_policy_file(policy::Policy file) { policies_.set_file(std::move(file)); }
 
     const Replica& replica() const { return replica_; }
+    /// Whether this process leads, as far as it knows.
+    bool leads() const { return leadership_.leading(); }
     const std::map<std::string, std::unique_ptr<Owner>>& owners() const { return holdings_.all(); }
     Owner* owner(const std::string& domain) const { return holdings_.find(domain); }
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -138,6 +138,11 @@
                                        back);
             if (call.method != "GET")
                 w.repeat([&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
+            if (call.path == "/commit" && w.drawn(w.late_writes)) {
+                w.at(w.now_ + w.between(2 * kSecond, 12 * kSecond),
+                     [&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
+                return;
+            }
             return back(w.state_.handle(call.method, call.path, body, w.now_));
         }
         if (to == "cloud" && call.method != "GET")
@@ -231,20 +236,17 @@
         kept_back_.push_back(std::move(deliver));
         return;
     }
+    if (auto worker = workers_.find(to); worker != workers_.end() && worker->second.deaf) return;
     if (cuts_.count(link(from, to)) || one_way_.count({from, to})) {
         held_.emplace_back(from, to, std::move(deliver));
         return;
     }
-    if (loss > 0 && std::uniform_real_distribution<double>(0, 1)(random) < loss) return;
-    if (from == "state" && answers_lost > 0 &&
-        std::uniform_real_distribution<double>(0, 1)(random) < answers_lost)
-        return;
+    if (drawn(loss) || (from == "state" && drawn(answers_lost))) return;
     at(now_ + delay(), std::move(deliver));
 }
 
 void World::repeat(std::function<void()> again) {
-    if (repeats <= 0 || std::uniform_real_distribution<double>(0, 1)(random) >= repeats) return;
-    at(now_ + static_cast<Micros>(random() % static_cast<std::uint64_t>(repeat_late)), std::move(again));
+    if (drawn(repeats)) at(now_ + between(0, repeat_late), std::move(again));
 }
 
 void World::hand(int i, std::function<void()> what, bool timer) {
@@ -359,6 +361,21 @@
     nodes_[static_cast<std::size_t>(i)].refused = on;
 }
 
+void World::cut_off(int i, bool on) {
+    std::vector<std::pair<std::string, std::string>> links;
+    const std::string host = "loom-" + std::to_string(i);
+    links.emplace_back(host, "state");
+    for (int peer = 0; peer < node_count(); ++peer)
+        if (peer != i) links.emplace_back(host, "loom-" + std::to_string(peer));
+    if (!on) return heal(links);
+    for (const auto& [a, b] : links) cut(a, b);
+}
+
+void World::deafen(const std::string& machine, bool on) {
+    note("machine " + machine + (on ? " is deaf" : " hears again"));
+    workers_[machine].deaf = on;
+}
+
 // ---------------------------------------------------------------- nodes and machines
 
 void World::start_nodes(int count, std::set<int> old) {
@@ -406,6 +423,12 @@
     });
 }
 
+int World::leader() const {
+    for (int i = 0; i < node_count(); ++i)
+        if (const auto& c = nodes_[static_cast<std::size_t>(i)].controller; c && c->leads()) return i;
+    return -1;
+}
+
 int World::holder() {
     for (int i = 0; i < node_count(); ++i)
         if (owner_at(i)) return i;
@@ -515,11 +538,13 @@
         x.next = now_ + wait;
         x.last = now_ + wait - 500 * kMillisecond;
     };
-    repeat([this, target, body] {
+    auto again = [this, target, body] {
         hand(target, [this, target, body] {
             if (node(target)) node(target)->handle({"POST", "/v1/report", body, false}, [](const auto&) {});
         });
-    });
+    };
+    repeat(again);
+    if (drawn(late_reports)) at(now_ + between(2 * kSecond, settings.lease * 5 / 2), again);
     const int next = (target + 1) % node_count();
     at(now_ + 4 * kSecond, [give_up, next] { give_up(next, kSecond); });
     if (!nodes_[static_cast<std::size_t>(target)].controller) {
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -38,6 +38,8 @@
     void crash(int node, Micros back_after);
     Controller* node(int i) { return nodes_[static_cast<std::size_t>(i)].controller.get(); }
     int node_count() const { return static_cast<int>(nodes_.size()); }
+    /// Index of the node that leads, or -1.
+    int leader() const;
     int holder();               // index of a node that holds machines and is active, or -1
     Owner* owner_at(int node);  // of the machines that it holds
     standin::Worker* worker(const std::string& name);
@@ -62,12 +64,22 @@
     void cut_one_way(const std::string& from, const std::string& to);
     /// 503 for this node alone.
     void refuse(int node, bool on);
+    /// The controller loses the state service and the other controllers, not its workers or users.
+    void cut_off(int node, bool on);
+    /// The machine's reports arrive; answers and direct commands to it are lost.
+    void deafen(const std::string& machine, bool on);
     double loss = 0;
     double answers_lost = 0;  // of the state service
     /// Part of all reports, commands, changes, rental and users' requests that arrive once more, up to
     /// `repeat_late` later; nobody waits for the answers. What the protocol says of delayed messages holds.
     double repeats = 0;
     Micros repeat_late = 8 * kSecond;
+    /// Part of the transactions that get no answer and are carried out 2 to 12 s later, after newer ones, if
+    /// their conditions still hold.
+    double late_writes = 0;
+    /// Part of the workers' reports of which a copy arrives again at the same node, from 2 s to two and a
+    /// half leases later.
+    double late_reports = 0;
     /// Commands that were carried out as well. The protocol has one that must not be: a launch after a clear.
     bool repeat_commands = false;
     /// A zone is cut off, its controllers with it, or all in it ends; and it is back: its controllers at
@@ -144,6 +156,7 @@
         int node = 0;
         bool in_flight = false;
         bool hung = false;
+        bool deaf = false;
         Micros next = 0;
         Micros last = 0;
         std::uint64_t generation = 0;
@@ -175,6 +188,13 @@
     void hand(int node, std::function<void()> what, bool timer = false);
     /// Has `again` happen a second time, now and then.
     void repeat(std::function<void()> again);
+    bool drawn(double part) {
+        return part > 0 && std::uniform_real_distribution<double>(0, 1)(random) < part;
+    }
+    /// Somewhere between, evenly.
+    Micros between(Micros least, Micros most) {
+        return least + static_cast<Micros>(random() % static_cast<std::uint64_t>(most - least));
+    }
     void heal(const std::vector<std::pair<std::string, std::string>>& links);
     Micros unanswered(const User& u) const;
     void tick();
