The trace of a job given away late has room in each domain

Need: without the guard the trace passed, since the domain that the job went to had no machine. Change: one machine for each. Seen: with the guard taken out 'ran_twice' is broken; with it all rules hold.

--- a/tests/late_writes_test.cpp
+++ b/tests/late_writes_test.cpp
@@ -188,7 +188,7 @@
     for (int i = 0; i < 4; ++i) w.late_next("c/active/" + job.ref, 30 * kSecond);
     w.run(8 * kSecond);
     for (int i = 0; i < 3; ++i) w.cut("loom-" + std::to_string(i), machine);
-    w.add_machine("large", "b");
+    for (int i = 0; i < 3; ++i) w.add_machine("large", "b");  // one for each domain
     w.run(30 * kSecond);
     w.heal_all();
     w.run(150 * kSecond);
