Whoever held a domain before is counted with, also when the record names its taker

A process that found its own name in a domain's record took that for the word of its own former process, and presumed silent leases over without the authority of the one before. But the record may have been written by another that gave the domain and does not know it yet, or by a former process that had taken it from another a moment before. Seen: a task ran twice, 13 s after the change of hands. Now only a new record is excused. It costs an authority more of doubt for machines that are silent from a restart on; the others show the token at once.

By reading: a promise was counted on for three leases, while a process that knows nothing of it waits for two; now two. What follows from a peer's end is true as of our last look.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -119,11 +119,11 @@
 }
 
 /// A node whose key is gone had its last confirmation before that, so it renews no lease beyond its
-/// authority.
+/// authority. It may be back since our last look, so what follows from that is true as of then.
 std::optional<Micros> Controller::peer_ended(std::size_t peer) const {
     const auto silent = replica_.members.silent_since(settings_.peers[peer].name);
     if (!silent) return std::nullopt;
-    return *silent + authority(settings_) + authority(settings_) / 1000;
+    return *silent + authority(settings_) + authority(settings_) / 1000 + feed_.confirmed_ago();
 }
 
 // ---------------------------------------------------------------- news
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -81,7 +81,7 @@
     change.priority = Priority::Urgent;
     change.when.push_back({keys::domain + name, before.mark});
     change.then.push_back({keys::domain + name, Value{{"holder", self}}});
-    context_.store().commit(std::move(change), [this, name, before, self](const CommitResult& r) {
+    context_.store().commit(std::move(change), [this, name, before, self, create](const CommitResult& r) {
         if (r.status != CommitStatus::Ok) {
             // The news tells who holds it, and whether our change was carried out after all.
             feed_.after_look([this, name](bool) { acquiring_.erase(name); });
@@ -92,10 +92,10 @@
                      before.holder.empty() ? "nobody" : before.holder, r.revision);
         if (const Held* d = replica_.members.domain(name); d && d->mark > r.revision) return;  // lost again
         replica_.members.set_domain(name, {self, r.revision});
-        // The former holder may still answer workers that we can't reach, unless it was this node's own
-        // former process or nobody.
-        const bool own = before.holder.empty() || before.holder == self;
-        const Micros former_end = context_.host().now() + (own ? 0 : authority(context_.settings()));
+        // Whoever held it before may still answer workers that we can't reach. That the record names this
+        // node tells nothing: it may have been handed over by another, or been taken from another just now
+        // by our own former process.
+        const Micros former_end = context_.host().now() + (create ? 0 : authority(context_.settings()));
         auto& held = owners_[name];
         if (held) retired_.push_back(std::move(held));
         held = std::make_unique<Owner>(context_, name, r.revision, former_end);
--- a/src/core/presence.hpp
+++ b/src/core/presence.hpp
@@ -14,6 +14,7 @@
 
   private:
     void announce();
+    void put(Revision mark);
     void renew();
 
     Host& host_;
--- a/src/core/relays.cpp
+++ b/src/core/relays.cpp
@@ -15,6 +15,7 @@
 constexpr Micros kRenounceEvery = 500 * kMillisecond;
 constexpr Micros kPeerTimeout = 800 * kMillisecond;
 constexpr Micros kRelayTimeout = 2 * kSecond;
+constexpr Micros kForgotten = 2;  // leases, until what a former process promised counts no more
 }  // namespace
 
 Relays::Relays(Host& host, const Settings& settings, const Feed& feed, const Replica& replica,
@@ -142,7 +143,7 @@
     Visit& visit = visits_[r.machine];
     // Promises that a former process of this node made are forgotten, so a new one waits until they are over.
     const bool may = presence_.announced() && replica_.members.alive(settings_.node) && authorised() && d &&
-                     now - started_ > 2 * with_drift(settings_.lease) && now >= visit.refused_until;
+                     now - started_ > kForgotten * with_drift(settings_.lease) && now >= visit.refused_until;
     const Block::Machine* m = block.find(r.machine);
     const Revision token = std::max(d ? d->mark : 0, m ? m->token : 0);
     if (!may || !m || m->retired || r.token > token) return respond(unavailable());
@@ -190,7 +191,9 @@
                     Owner* o2 = holdings_.find(name);
                     if (!answer || answer->ages.size() != machines.size() || !o2 || o2->mark() != mark)
                         return;
-                    const Micros promised = 3 * with_drift(settings_.lease);
+                    // Given for longer, but a process that follows the giver's knows nothing of it, and
+                    // waits for this long.
+                    const Micros promised = kForgotten * with_drift(settings_.lease);
                     for (std::size_t m = 0; m < machines.size(); ++m)
                         o2->renounced(i, machines[m],
                                       {sent + promised - promised / 100,
