Work is placed elsewhere when its machine reports but does not hear

Any report made a machine usable again, so a task bound to one that hears nothing was launched there in vain, session after session, for as long as that lasted. Now a machine that left a call unanswered gets nothing new, and what is proven not to be there goes elsewhere, until it has shown that it hears.

After a change of holder its reports kept the doubt alive: without our token nothing is proven, and without silence its lease was never over. But a worker takes an answer before its next report: one that does not show our token has taken none of ours, so only the former holder's authority and a lease count. That rests on a holder launching only within its authority, as it answers.

The limit on launches is noticed by no test.

--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/authority.hpp"
 #include "core/owner.hpp"
 #include "log/log.hpp"
 
@@ -10,7 +11,8 @@
 
 namespace {
 
-constexpr Micros kProven = 5 * kSecond;  // a task that has run for this long can run
+constexpr Micros kWorkerPatience = 4 * kSecond;  // for an answer to its report
+constexpr Micros kProven = 5 * kSecond;          // a task that has run for this long can run
 
 using recovery::Verdict;
 
@@ -112,12 +114,23 @@
 /// must not be stopped as such. Only the session and the token count.
 void Owner::greet(Machine& m, const Report& r) {
     if (r.session < m.session) return;
-    if (r.session > m.session) m.seq = 0;
+    if (r.session > m.session) {
+        m.seq = 0;
+        m.session_since = context_.host().now();
+    }
     m.session = r.session;
     m.token_seen = std::max(m.token_seen, r.token);
-    m.heard = context_.host().now();
+    m.heard = m.greeted = context_.host().now();
     m.listened = context_.host().listened();
-    m.suspect = false;
+}
+
+/// Whether a report, which is news, tells that the worker has lately had an answer from a controller. Without
+/// one it would have waited for longer before it reports again, and its session ends with its lease.
+bool Owner::hears(const Machine& m, const Report& r) const {
+    const Micros now = context_.host().now();
+    if (m.reported == 0 || r.session != m.session) return false;
+    return now - m.reported < kWorkerPatience ||
+           now - m.session_since > with_drift(context_.settings().lease);
 }
 
 /// Applies a worker's message; `is_report` tells a report from the answer to a /do.
@@ -125,7 +138,10 @@
     const Micros now = context_.host().now();
     if (!recovery::is_news({r.session, r.seq}, {m.session, m.seq}, m.min_session)) return;
     const bool was_usable = usable(m);
+    // That it reports does not tell that it hears us.
+    if (is_report && hears(m, r)) m.suspect = false;
     if (r.session > m.session) {
+        m.session_since = now;
         m.taints.clear();  // /do names the session: what was sent to an earlier one is refused
         m.answer_launches.clear();
     }
@@ -134,7 +150,7 @@
     m.token_seen = std::max(m.token_seen, r.token);
     m.heard = now;
     m.listened = context_.host().listened();
-    m.suspect = false;
+    if (is_report) m.reported = now;
     if (r.notice && !m.notice) {
         m.notice = true;
         m.notice_end = now + *r.notice;
@@ -239,10 +255,21 @@
     proof.higher_token = r.token > slot.launch_token;
     proof.answer_over = slot.launch_by_answer && is_report && r.seq > slot.launch_seq &&
                         !m.taints.count(key) && !m.direct_launches.count(key);
+    // A worker takes an answer before its next report. One that does not show our token has taken none of
+    // ours, so whatever the former holder started has ended with the last lease that one can have granted,
+    // or that was granted while reports could not be squared yet.
+    if (slot.foreign && is_report && m.token_seen < mark_ && over_since(m, std::max(former_end_, m.greeted)))
+        proof.later_session = true;
     proof.may_still_come = may_come(m, key);
     const auto verdict = recovery::square(stored(&job, &slot, m, slot.attempt), {}, proof);
     startup_.squared(verdict, slot.foreign);
     if (verdict == Verdict::Gone) return gone(job, task, 0);
+    const bool unsent = verdict == Verdict::Unsent && slot.state == SlotState::Bound && !slot.foreign;
+    // Proven not to be there: on a machine that does not hear us it would be launched in vain for ever.
+    if ((verdict == Verdict::LaunchAgain || unsent) && m.suspect && !may_come(m, key)) {
+        spdlog::info("task {}/{}: {} does not hear us, to be placed elsewhere", key.job, task, m.name);
+        return gone(job, task, 0);
+    }
     if (verdict != Verdict::LaunchAgain) return;
     slot.launch_sent = false;
     poke(m);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "core/authority.hpp"
 #include "core/barter.hpp"
 #include "core/fleet.hpp"
 #include "core/history.hpp"
@@ -60,6 +61,7 @@
         replica_.take(keys::job + ref, &value, mark);
     }
     std::optional<Micros> peer_ended(std::size_t peer) const override;
+    bool entitled() const override { return feed_.confirmed_ago() < authority(settings_); }
     const PlanBook::Stored* stored_plan(const std::string& domain) const override {
         return replica_.plans.find(domain);
     }
--- a/src/core/machine.hpp
+++ b/src/core/machine.hpp
@@ -53,6 +53,9 @@
     std::uint64_t min_session = 0;  // earlier sessions are proven over
     Micros heard = 0;               // by the steady clock, for what is proven by time
     Micros listened = 0;            // the same in time spent listening, for what is merely unheard
+    Micros reported = 0;            // when its last report was taken in
+    Micros greeted = 0;             // when it last reported before the domain's jobs were read
+    Micros session_since = 0;       // when its session was first heard of
     Micros answered = 0;            // when a report was last answered 200
     Micros known_since = 0;
     bool notice = false;
@@ -83,7 +86,7 @@
     bool relayed = false;  // its last report came through another controller
     Micros relayed_since = 0;
     Micros probed_at = 0;
-    bool suspect = false;   // a connection to it did not come about; until it is heard again
+    bool suspect = false;   // a call of ours was not answered; until it has shown that it hears us
     bool due = false;       // in the owner's list of machines to send to
     bool raising = false;   // its token is being raised
     bool retiring = false;  // being marked as retired
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -80,6 +80,8 @@
             continue;
         }
         if (job->stage != Stage::Queued || m.token_seen < token(m)) continue;
+        // Another may hold the domain by now, and rests on our starting nothing beyond our authority.
+        if (!context_.entitled()) continue;
         if (slot.foreign || m.direct_launches.count(key)) continue;
         if (job->spec.kind == JobKind::Gang &&
             std::any_of(job->slots.begin(), job->slots.end(),
@@ -103,9 +105,10 @@
     return orders;
 }
 
-/// Whether a worker whose reports are relayed is to be called, to find out whether it can be reached again.
+/// Whether a worker whose reports are relayed, or that left a call unanswered, is to be called, to find out
+/// whether it can be reached again.
 bool Owner::probe_due(const Machine& m) const {
-    return m.out_of_reach() && context_.host().now() - m.probed_at > kProbeEvery;
+    return (m.out_of_reach() || m.suspect) && context_.host().now() - m.probed_at > kProbeEvery;
 }
 
 /// Puts a machine on the list of those to send to.
@@ -161,7 +164,7 @@
     const Micros now = context_.host().now();
     if (m.direct_in_flight || now < m.direct_after || m.addr.empty()) return;
     // A worker that only others reach gets its orders in the answers to its reports.
-    const bool probe = probe_due(m);
+    const bool probe = active_ && probe_due(m);
     if (m.out_of_reach() && !probe) return;
     if (probe) m.probed_at = now;
     const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
@@ -198,6 +201,7 @@
         x.direct_backoff = 0;
         x.direct_after = 0;
         x.direct_ok = context_.host().now();
+        x.suspect = false;
         if (report->token > token(x)) return x.leaving ? void() : context_.ousted(domain_);
         if (active_)
             absorb(x, *report, false);
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -101,9 +101,14 @@
 /// granted as long as the worker has not shown our token, and what other controllers may have renewed on our
 /// behalf. Of the last only their promise tells, or that they can't have been entitled any more.
 bool Owner::lease_over(const Machine& m) const {
-    const Micros now = context_.host().now();
     Micros last = std::max({m.answered, m.heard, m.known_since});
     if (m.token_seen < mark_) last = std::max(last, former_end_);
+    return over_since(m, last);
+}
+
+/// The same, where the domain's holders can have granted none since `last`.
+bool Owner::over_since(const Machine& m, Micros last) const {
+    const Micros now = context_.host().now();
     if (now <= last + with_drift(context_.settings().lease)) return false;
     for (std::size_t peer = 0; peer < m.promises.size(); ++peer) {
         if (m.promises[peer].until > now)
@@ -119,10 +124,12 @@
 std::vector<std::string> Owner::to_renounce(std::size_t peer) const {
     std::vector<std::string> names;
     const Micros now = context_.host().now();
-    for (const auto& [name, m] : ledger_.machines)
-        if (!m->tasks.empty() && silent_for(*m) > context_.settings().lease / 2 &&
-            m->promises[peer].until < now + context_.settings().lease)
+    const Micros half = context_.settings().lease / 2;
+    for (const auto& [name, m] : ledger_.machines) {
+        const bool unheard = silent_for(*m) > half || (m->token_seen < mark_ && now - taken_at_ > half);
+        if (unheard && !m->tasks.empty() && m->promises[peer].until < now + context_.settings().lease)
             names.push_back(name);
+    }
     return names;
 }
 
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -49,6 +49,8 @@
     virtual bool all_read(std::uint64_t format) const = 0;
     /// What our own commit has made final, ahead of the news of it.
     virtual void settled(const std::string& ref, const Value& value, Revision mark) = 0;
+    /// Whether this process has looked at the store within its authority, so that it may answer and start.
+    virtual bool entitled() const = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
     /// What a domain has begun and not ended, as last read; nullptr: nothing ever.
@@ -123,7 +125,8 @@
     void rehome(const std::string& to, Milli ordinary, Milli spot);
     /// What of the team's share neither is in use nor waited for.
     Resources spare_share(const std::string& team) const;
-    /// Silent machines with tasks, for which `peer` has not promised to renew no leases.
+    /// Machines with tasks that are silent, or don't hear us, for which `peer` has not promised to renew no
+    /// leases.
     std::vector<std::string> to_renounce(std::size_t peer) const;
     void renounced(std::size_t peer, const std::string& machine, Promise promise);
     Value status() const;
@@ -151,6 +154,8 @@
     }
 
     bool lease_over(const Machine& m) const;
+    bool over_since(const Machine& m, Micros last) const;
+    bool hears(const Machine& m, const Report& r) const;
 
     void greet(Machine& m, const Report& report);
     void absorb(Machine& m, const Report& report, bool is_report);
--- a/tests/handing_over_test.cpp
+++ b/tests/handing_over_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/authority.hpp"
 #include "lab/world.hpp"
 
 namespace cottonway::test {
@@ -81,6 +82,44 @@
     }
 }
 
+TEST(Deaf, WhatAMachineDoesNotHearRunsElsewhere) {
+    auto w = settled(24, 2);
+    w->submit(w->job(1, JobKind::Service, 1, 1), 0);
+    w->run(3 * kSecond);
+    const std::string machine = *w->machines_of("req-000001").begin();
+    w->deafen(machine, true);
+    for (int i = 2; i <= 3; ++i) w->submit(w->job(i, JobKind::Array, 1, 5), 2 * kSecond);
+    // Its lease, a vain report to each controller in turn, and what the tasks take.
+    w->run(w->settings.lease + 4 * 5 * kSecond + 5 * kSecond);
+    EXPECT_EQ(w->told("req-000002"), "done") << w->story();
+    EXPECT_EQ(w->told("req-000003"), "done") << w->story();
+    EXPECT_EQ(w->running("req-000001"), 1) << w->story();
+    EXPECT_NE(*w->machines_of("req-000001").begin(), machine);
+    w->deafen(machine, false);
+    w->run(8 * kSecond);
+    w->submit(w->job(4, JobKind::Array, 2, 6), 2 * kSecond);
+    w->run(6 * kSecond);
+    EXPECT_EQ(w->told("req-000004"), "done") << "it is used again\n" << w->story();
+    EXPECT_RULES(*w);
+}
+
+TEST(Deaf, WhatAFormerHolderLaunchedThereIsGoneWithItsLastLease) {
+    // A machine that reports, but never shows the new holder's token.
+    auto w = settled(25, 2);
+    const int former = w->holder();
+    const std::string machine = w->machine_names().front();
+    w->deafen(machine, true);
+    for (int i = 1; i <= 2; ++i) w->submit(w->job(i, JobKind::Array, 1, 5), 2 * kSecond);
+    w->run(kSecond);
+    ASSERT_EQ(w->starts("req-000001") + w->starts("req-000002"), 1) << "one is bound to the deaf machine";
+    w->crash(former, 300 * kSecond);
+    // Until the dead holder is noticed, its authority, a lease, a report.
+    w->run(3 * kSecond + authority(w->settings) + with_drift(w->settings.lease) + 5 * kSecond + 5 * kSecond);
+    EXPECT_EQ(w->told("req-000001"), "done") << w->story();
+    EXPECT_EQ(w->told("req-000002"), "done") << w->story();
+    EXPECT_RULES(*w);
+}
+
 TEST(HandingOver, AllEndAndReturnWithinASecondTimeAndAgain) {
     for (std::uint64_t seed = 31; seed < 35; ++seed) {
         Settings site = small_site();
