--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "core/authority.hpp"
 #include "core/barter.hpp"
 #include "core/fleet.hpp"
 #include "core/history.hpp"
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -109,9 +109,10 @@
     return orders;
 }
 
-/// Whether a worker whose reports are relayed is to be called, to find out whether it can be reached again.
+/// Whether a worker whose reports are relayed, or that left a call unanswered, is to be called, to find out
+/// whether it can be reached again.
 bool Owner::probe_due(const Machine& m) const {
-    return m.out_of_reach() && context_.host().now() - m.probed_at > kProbeEvery;
+    return (m.out_of_reach() || m.suspect) && context_.host().now() - m.probed_at > kProbeEvery;
 }
 
 /// Puts a machine on the list of those to send to.
@@ -167,7 +168,7 @@
     const Micros now = context_.host().now();
     if (m.direct_in_flight || now < m.direct_after || m.addr.empty()) return;
     // A worker that only others reach gets its orders in the answers to its reports.
-    const bool probe = probe_due(m);
+    const bool probe = active_ && probe_due(m);
     if (m.out_of_reach() && !probe) return;
     if (probe) m.probed_at = now;
     const bool show_token = m.token_seen < token(m) || (active_ && m.seq == 0);
@@ -204,6 +205,7 @@
         x.direct_backoff = 0;
         x.direct_after = 0;
         x.direct_ok = context_.host().now();
+        x.suspect = false;
         if (report->token > token(x)) return x.leaving ? void() : context_.ousted(domain_);
         if (active_)
             absorb(x, *report, false);
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -131,7 +131,8 @@
     void rehome(const std::string& to, Milli ordinary, Milli spot);
     /// What of the team's share neither is in use nor waited for.
     Resources spare_share(const std::string& team) const;
-    /// Silent machines with tasks, for which `peer` has not promised to renew no leases.
+    /// Machines with tasks that are silent, or don't hear us, for which `peer` has not promised to renew no
+    /// leases.
     std::vector<std::string> to_renounce(std::size_t peer) const;
     void renounced(std::size_t peer, const std::string& machine, Promise promise);
     Value status() const;
@@ -164,6 +165,8 @@
         const Job* job = ledger_.job(ref);
         return job && job->stage == Stage::Queued;
     }
+    bool over_since(const Machine& m, Micros last) const;
+    bool hears(const Machine& m, const Report& r) const;
 
     void greet(Machine& m, const Report& report);
     void absorb(Machine& m, const Report& report, bool is_report);
