--- a/src/core/machine.hpp
+++ b/src/core/machine.hpp
@@ -56,7 +56,6 @@
     Micros reported = 0;            // when its last report was taken in
     Micros greeted = 0;             // when it last reported before the domain's jobs were read
     Micros session_since = 0;       // when its session was first heard of
-    Micros answered = 0;            // when a report was last answered 200
     Micros known_since = 0;
     bool notice = false;
     Micros notice_end = 0;
@@ -76,9 +75,13 @@
     /// Launches in report answers, by the sequence of the report; settled by any later report.
     std::map<AttemptKey, std::uint64_t> answer_launches;
     std::set<AttemptKey> direct_launches;  // in the /do that is under way
-    /// Launches by /do that were carried out lately, and when: a copy of one may still arrive, and would
-    /// start the attempt anew once it has been cleared.
-    std::map<AttemptKey, Micros> carried_out;
+    /// Launches by /do that were carried out, with which token and when: a copy of one may still arrive, and
+    /// would start the attempt anew once it has been cleared.
+    struct CarriedOut {
+        std::uint64_t token = 0;
+        Micros at = 0;
+    };
+    std::map<AttemptKey, CarriedOut> carried_out;
     bool direct_in_flight = false;
     Micros direct_after = 0;
     Micros direct_backoff = 0;
