The lab plays late transactions and reports, deaf machines and a node cut off, and hits whoever leads

Experiments could not bring about the meetings that break rules most: the controller that leads, or holds the most machines, is another one each run.

late_writes, late_reports, deaf and cut_off are faults; a node is a number, "leader" or "busiest", as of the fault's beginning; other words are an error with the key.

--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -84,9 +84,53 @@
     e.loads.push_back(std::move(l));
 }
 
-const std::set<std::string> kKinds{"end",       "end_all",   "state_down", "cut_state", "cut_workers",
-                                   "freeze",    "hang",      "kill",       "refuse",    "repeat",
-                                   "cut_peers", "zone_lost", "zone_back"};
+const std::set<std::string> kKinds{"end",       "end_all",   "state_down", "cut_state",   "cut_workers",
+                                   "freeze",    "hang",      "kill",       "refuse",      "repeat",
+                                   "cut_peers", "zone_lost", "zone_back",  "late_writes", "late_reports",
+                                   "deaf",      "cut_off"};
+
+Fault load_fault(Table& x, const Experiment& e) {
+    using Who = Fault::Who;
+    Fault f;
+    f.at = x.seconds("at_s", 0);
+    f.kind = x.text("kind", "");
+    if (!kKinds.count(f.kind)) fail(x.path("kind"), "unknown: \"" + f.kind + "\"");
+    f.span = x.seconds("for_s", 3);
+    f.apart = x.seconds("apart_s", 0);
+    if (x.has_text("node"))
+        f.who = one_of<Who>(x.path("node"), x.text("node", ""),
+                            {{"leader", Who::Leader}, {"busiest", Who::Busiest}});
+    else
+        f.node = x.count("node", -1, e.controllers - 1, -1);
+    if (x.flag("any")) {
+        if (f.who != Who::Node) fail(x.path("any"), "the node is named already");
+        f.who = Who::Any;
+    }
+    const bool counted = x.has("count"), somewhere = x.has("zone"), parted = x.has("part");
+    f.count = x.count("count", 1, 20'000);
+    f.times = std::max(x.count("times", 1, 10'000), 1);
+    f.every = x.seconds("every_s", 0);
+    f.zone = x.text("zone", e.settings.zones.front());
+    if (const auto& zones = e.settings.zones; std::find(zones.begin(), zones.end(), f.zone) == zones.end())
+        fail(x.path("zone"), "no such zone: " + f.zone);
+    f.ends = x.flag("ends");
+    if (f.kind == "repeat") {
+        f.late = x.seconds("late_s", 8);
+        f.commands = x.flag("commands");
+    } else if (f.kind == "late_writes") {
+        f.late = World::kLatestWrite;
+    } else if (f.kind == "late_reports") {
+        f.late = World::latest_report(e.settings.lease);
+    } else if (f.kind == "deaf") {
+        if (counted && parted) fail(x.path("part"), "either part or count");
+        if (!somewhere) f.zone.clear();
+        if (!counted && (parted || somewhere)) f.count = 20'000;
+        f.part = x.number("part", 1, 0, 1);
+        return f;
+    }
+    if (f.late > 0) f.part = x.number("part", 0.05, 0, 1);
+    return f;
+}
 
 }  // namespace
 
@@ -111,7 +155,7 @@
 }
 
 Micros Fault::over(int nodes) const {
-    return at + every * (times - 1) + span + apart * (node < 0 && !any ? nodes - 1 : 0) + late;
+    return at + every * (times - 1) + span + apart * (node < 0 && who == Who::Node ? nodes - 1 : 0) + late;
 }
 
 Micros Experiment::calm() const {
@@ -158,27 +202,7 @@
         e.machines.push_back(m);
     });
     t.rows("load", [&](Table& x) { load_load(x, e); });
-    t.rows("fault", [&](Table& x) {
-        Fault f;
-        f.at = x.seconds("at_s", 0);
-        f.kind = x.text("kind", "");
-        if (!kKinds.count(f.kind)) fail("fault.kind", "unknown: \"" + f.kind + "\"");
-        f.span = x.seconds("for_s", 3);
-        f.apart = x.seconds("apart_s", 0);
-        f.node = static_cast<int>(x.number("node", -1, -1, e.controllers - 1));
-        f.count = x.count("count", 1, 20'000);
-        f.any = x.flag("any");
-        f.times = std::max(x.count("times", 1, 10'000), 1);
-        f.every = x.seconds("every_s", 0);
-        f.zone = x.text("zone", e.settings.zones.front());
-        f.ends = x.flag("ends");
-        if (f.kind == "repeat") {
-            f.part = x.number("part", 0.05, 0, 1);
-            f.late = x.seconds("late_s", 8);
-            f.commands = x.flag("commands");
-        }
-        e.faults.push_back(f);
-    });
+    t.rows("fault", [&](Table& x) { e.faults.push_back(load_fault(x, e)); });
     if (e.acceptance && !e.faults.empty() && e.duration < e.calm() + kAnsweredWithin + 5 * kSecond)
         fail("duration_s", "must leave 80 s after the last fault, or set acceptance = false");
     if (!policy_file.empty())
@@ -388,16 +412,35 @@
     std::map<int, Micros> back_at_;
 };
 
-void begin_fault(World& w, const Fault& f, Watcher& watcher, Results& into) {
-    const int drawn =
-        f.any ? static_cast<int>(w.random() % static_cast<std::uint64_t>(w.node_count())) : f.node;
+/// The nodes that it hits: where nobody leads or holds a machine, one is drawn.
+std::vector<int> nodes_of(World& w, const Fault& f) {
+    int one = f.who == Fault::Who::Leader ? w.leader() : f.who == Fault::Who::Busiest ? w.busiest() : f.node;
+    if (one < 0 && f.who != Fault::Who::Node)
+        one = static_cast<int>(w.random() % static_cast<std::uint64_t>(w.node_count()));
     std::vector<int> nodes;
     for (int i = 0; i < w.node_count(); ++i)
-        if (drawn < 0 || drawn == i) nodes.push_back(i);
-    auto host = [](int i) { return "loom-" + std::to_string(i); };
+        if (one < 0 || one == i) nodes.push_back(i);
+    return nodes;
+}
+
+/// The machines that it hits.
+std::vector<std::string> machines_of(World& w, const Fault& f) {
     auto names = w.machine_names();
+    if (f.kind == "deaf")
+        std::erase_if(names, [&](const auto& m) { return !f.zone.empty() && w.worker(m)->zone() != f.zone; });
     std::shuffle(names.begin(), names.end(), w.random);
-    names.resize(std::min(names.size(), static_cast<std::size_t>(f.count)));
+    auto most = static_cast<std::size_t>(f.count);
+    if (f.kind == "deaf")
+        most =
+            std::min(most, static_cast<std::size_t>(std::ceil(f.part * static_cast<double>(names.size()))));
+    names.resize(std::min(names.size(), most));
+    return names;
+}
+
+void begin_fault(World& w, const Fault& f, Watcher& watcher, Results& into) {
+    const std::vector<int> nodes = nodes_of(w, f);
+    const std::vector<std::string> names = machines_of(w, f);
+    auto host = [](int i) { return "loom-" + std::to_string(i); };
     if (f.kind == "end" || f.kind == "end_all") {
         w.remember_running();
         Micros back = f.span;
@@ -454,6 +497,22 @@
         w.repeat_commands = f.commands;
         w.repeat_late = std::max(f.late, kMillisecond);
         w.at(w.now() + f.span, [&w] { w.repeats = 0; });
+    } else if (f.kind == "late_writes") {
+        w.late_writes = f.part;
+        w.at(w.now() + f.span, [&w] { w.late_writes = 0; });
+    } else if (f.kind == "late_reports") {
+        w.late_reports = f.part;
+        w.at(w.now() + f.span, [&w] { w.late_reports = 0; });
+    } else if (f.kind == "cut_off") {
+        for (int i : nodes) {
+            w.cut_off(i, true);
+            w.at(w.now() + f.span, [&w, i] { w.cut_off(i, false); });
+        }
+    } else if (f.kind == "deaf") {
+        for (const auto& m : names) {
+            w.deafen(m, true);
+            w.at(w.now() + f.span, [&w, m] { w.deafen(m, false); });
+        }
     } else if (f.kind == "zone_lost") {
         w.lose_zone(f.zone, f.ends);
         if (f.span > 0) w.at(w.now() + f.span, [&w, zone = f.zone] { w.zone_back(zone); });
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -39,14 +39,14 @@
     Micros span = 0;   // how long it lasts, or until a process is back
     Micros apart = 0;  // between the processes' returns
     int node = -1;     // -1: all
+    enum class Who { Node, Any, Leader, Busiest } who = Who::Node;  // the last three as of its beginning
     int count = 0;
-    bool any = false;  // one node, drawn anew each time
     int times = 1;
     Micros every = 0;  // between two times
     std::string zone;
-    bool ends = false;  // a lost zone ends, instead of being cut off
-    double part = 0;    // of messages that are repeated
-    Micros late = 0;
+    bool ends = false;      // a lost zone ends, instead of being cut off
+    double part = 0;        // of messages that are repeated or late, or of machines
+    Micros late = 0;        // how much later than its end the last of these messages may arrive
     bool commands = false;  // those that were carried out as well
 
     /// When the last of it is over.
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -139,7 +139,7 @@
             if (call.method != "GET")
                 w.repeat([&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
             if (call.path == "/commit" && w.drawn(w.late_writes)) {
-                w.at(w.now_ + w.between(2 * kSecond, 12 * kSecond),
+                w.at(w.now_ + w.between(2 * kSecond, kLatestWrite),
                      [&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
                 return;
             }
@@ -435,6 +435,19 @@
     return -1;
 }
 
+int World::busiest() {
+    int found = -1;
+    std::size_t most = 0;
+    for (int i = 0; i < node_count(); ++i) {
+        std::size_t held = 0;
+        if (node(i))
+            for (const auto& [name, owner] : node(i)->owners())
+                if (owner) held += owner->machines().size();
+        if (held > most) most = held, found = i;
+    }
+    return found;
+}
+
 Owner* World::owner_at(int i) {
     if (!node(i)) return nullptr;
     for (const auto& [name, owner] : node(i)->owners())
@@ -544,7 +557,7 @@
         });
     };
     repeat(again);
-    if (drawn(late_reports)) at(now_ + between(2 * kSecond, settings.lease * 5 / 2), again);
+    if (drawn(late_reports)) at(now_ + between(2 * kSecond, latest_report(settings.lease)), again);
     const int next = (target + 1) % node_count();
     at(now_ + 4 * kSecond, [give_up, next] { give_up(next, kSecond); });
     if (!nodes_[static_cast<std::size_t>(target)].controller) {
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -41,6 +41,7 @@
     /// Index of the node that leads, or -1.
     int leader() const;
     int holder();               // index of a node that holds machines and is active, or -1
+    int busiest();              // index of the node that holds the most machines, or -1
     Owner* owner_at(int node);  // of the machines that it holds
     standin::Worker* worker(const std::string& name);
     standin::StateService& state() { return state_; }
@@ -77,9 +78,11 @@
     /// Part of the transactions that get no answer and are carried out 2 to 12 s later, after newer ones, if
     /// their conditions still hold.
     double late_writes = 0;
+    static constexpr Micros kLatestWrite = 12 * kSecond;
     /// Part of the workers' reports of which a copy arrives again at the same node, from 2 s to two and a
     /// half leases later.
     double late_reports = 0;
+    static constexpr Micros latest_report(Micros lease) { return lease * 5 / 2; }
     /// Commands that were carried out as well. The protocol has one that must not be: a launch after a clear.
     bool repeat_commands = false;
     /// A zone is cut off, its controllers with it, or all in it ends; and it is back: its controllers at
--- a/src/settings/table.hpp
+++ b/src/settings/table.hpp
@@ -51,6 +51,7 @@
     }
     std::string path(const std::string& key) const { return path_ + key; }
     bool has(const char* key) const { return table_.contains(key); }
+    bool has_text(const char* key) const { return table_.get(key) && table_.get(key)->is_string(); }
     double number(const char* key, double fallback, double low, double high) {
         const auto* node = ask(key);
         if (!node) return fallback;
--- /dev/null
+++ b/tests/experiment_test.cpp
@@ -0,0 +1,68 @@
+// Experiments as files describe them: whom a fault hits, and until when it lasts.
+
+#include "lab/experiment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+namespace cottonway::test {
+
+using namespace lab;
+namespace {
+
+Experiment with_fault(const std::string& fault) {
+    const std::string path = testing::TempDir() + "fault-" + std::to_string(getpid()) + ".toml";
+    std::ofstream(path) << "duration_s = 60\nacceptance = false\n[workers]\nlease_s = 20\n"
+                        << "[[team]]\nname = \"red\"\ncores_max = 100\n[[type]]\nname = \"small\"\n"
+                        << "[[machines]]\ncount = 6\n[[machines]]\nzone = \"b\"\ncount = 6\n"
+                        << "[[load]]\ninitial = 4\nper_minute = 30\nrun_s = 5\n"
+                        << "[[fault]]\nat_s = 10\nfor_s = 5\n"
+                        << fault << "\n";
+    return Experiment::load(path);
+}
+
+std::string error(const std::string& fault) {
+    try {
+        with_fault(fault);
+        return "";
+    } catch (const std::runtime_error& e) {
+        return e.what();
+    }
+}
+
+TEST(Experiment, CalmCountsHowLateMessagesMayBe) {
+    EXPECT_EQ(with_fault("kind = \"cut_off\"").calm(), 15 * kSecond);
+    EXPECT_EQ(with_fault("kind = \"late_writes\"\npart = 0.2").calm(), 27 * kSecond);
+    EXPECT_EQ(with_fault("kind = \"late_reports\"").calm(), 65 * kSecond);  // two and a half leases
+    EXPECT_EQ(with_fault("kind = \"deaf\"\ntimes = 3\nevery_s = 4").calm(), 23 * kSecond);
+}
+
+TEST(Experiment, WordsForNodesAreReadAndBadOnesNamed) {
+    EXPECT_EQ(with_fault("kind = \"refuse\"\nnode = \"leader\"").faults[0].who, Fault::Who::Leader);
+    EXPECT_EQ(with_fault("kind = \"cut_off\"\nnode = \"busiest\"").faults[0].who, Fault::Who::Busiest);
+    EXPECT_EQ(with_fault("kind = \"end\"\nany = true").faults[0].who, Fault::Who::Any);
+    EXPECT_EQ(with_fault("kind = \"end\"\nnode = 2").faults[0].node, 2);
+    EXPECT_EQ(error("kind = \"end\"\nnode = \"first\""),
+              "fault[0].node: must be one of busiest, leader, not first");
+    EXPECT_EQ(error("kind = \"end\"\nnode = 3"), "fault[0].node: must lie between -1 and 2");
+    EXPECT_EQ(error("kind = \"end\"\nnode = \"leader\"\nany = true"),
+              "fault[0].any: the node is named already");
+    EXPECT_EQ(error("kind = \"deaf\"\npart = 0.5\ncount = 2"), "fault[0].part: either part or count");
+    EXPECT_EQ(error("kind = \"zone_lost\"\nzone = \"z\""), "fault[0].zone: no such zone: z");
+}
+
+TEST(Experiment, FurtherFaultsBreakNoRule) {
+    for (const char* fault :
+         {"kind = \"late_writes\"\npart = 0.2", "kind = \"late_reports\"\npart = 0.3",
+          "kind = \"deaf\"\npart = 0.5", "kind = \"deaf\"\nzone = \"b\"",
+          "kind = \"cut_off\"\nnode = \"leader\"", "kind = \"refuse\"\nnode = \"busiest\""}) {
+        Results results;
+        play(with_fault(fault), 1, results);
+        EXPECT_TRUE(results.fine()) << fault << ": " << results.broken.front();
+        EXPECT_GT(results.over, 10u) << fault;
+    }
+}
+
+}  // namespace
+}  // namespace cottonway::test
