--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -60,6 +60,7 @@
         replica_.take(keys::job + ref, &value, mark);
     }
     std::optional<Micros> peer_ended(std::size_t peer) const override;
+    const LiveJob* stored_job(const std::string& ref) const override { return replica_.jobs.find(ref); }
     const PlanBook::Stored* stored_plan(const std::string& domain) const override {
         return replica_.plans.find(domain);
     }
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -176,10 +176,22 @@
 /// Nothing of it is durable, or nobody knows (then its record is read): nothing of it was launched.
 void Owner::not_admitted(Job& job, CommitStatus status) {
     auto done = std::exchange(job.admitting, nullptr);
+    const std::string ref = job.spec.ref;
     given_away(job);
+    take_again(ref);
     if (done) done({status, 0, {}});
 }
 
+/// News of a record that comes while a write or a read of ours is under way is left to that one's result.
+/// Where this is that nothing of ours stands, the news was another's admission into this domain, or our own
+/// that was carried out late: nobody else takes the job in.
+void Owner::take_again(const std::string& ref) {
+    const LiveJob* stored = context_.stored_job(ref);
+    if (!stored) return;
+    on_job(ref, stored->place, stored->record, stored->mark);
+    on_shadow(ref, stored->shadow);
+}
+
 void Owner::on_part(const std::string& ref, std::size_t part, const Value& value, Revision mark) {
     Job* job = ledger_.job(ref);
     if (!job || part == 0 || part >= job->parts.size()) return;
@@ -243,6 +255,13 @@
             }
         }
     }
+    // One task that is done proves its gang done, also to a holder that was not there: those that were
+    // started again meanwhile would wait for it in vain.
+    if (job.spec.kind == JobKind::Gang && job.done > 0) {
+        job.gang_done = true;
+        for (std::size_t i = first; i < last; ++i)
+            if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
+    }
     for (std::size_t i = first; i < last; ++i)
         if (job.slots[i].state == SlotState::Binding) touch(job, part);
     if (part == 0 && wire::text(value, "s") == "cancelled") cancel(job);
@@ -569,8 +588,8 @@
         // Our final write went through after all.
         if (job->place == Place::Active) left_over_.push_back({keys::active + ref, job->parts[0].mark});
         drop_job(ref);
-        if (r.found) context_.settled(ref, r.value, r.mark);
-        return;
+        if (r.found) return context_.settled(ref, r.value, r.mark);
+        return take_again(ref);
     }
     if (index == 0 && wire::text(r.value, "dom") != domain_) return given_away(*job);
     if (index == 0) {
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -18,6 +18,7 @@
 #include "peer/messages.hpp"
 #include "recovery/squaring.hpp"
 #include "recovery/startup.hpp"
+#include "replica/jobs.hpp"
 #include "replica/pipelines.hpp"
 #include "replica/plans.hpp"
 #include "settings/settings.hpp"
@@ -51,6 +52,8 @@
     virtual void settled(const std::string& ref, const Value& value, Revision mark) = 0;
     /// From when on a peer that is not alive can renew no lease; nothing while it may.
     virtual std::optional<Micros> peer_ended(std::size_t peer) const = 0;
+    /// A job's record as last read; nullptr: there is none, or it is over.
+    virtual const LiveJob* stored_job(const std::string& ref) const = 0;
     /// What a domain has begun and not ended, as last read; nullptr: nothing ever.
     virtual const PlanBook::Stored* stored_plan(const std::string& domain) const = 0;
     /// How long no node has come or ended and each domain has had a holder that is alive, as far as the store
@@ -180,6 +183,7 @@
     void settle_gang(Job& job);
     void drop_job(const std::string& ref);
     void not_admitted(Job& job, CommitStatus status);
+    void take_again(const std::string& ref);
     Micros gathers(const Job& job, bool binds) const;
     void given_away(Job& job);
 
