--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -261,6 +261,13 @@
             }
         }
     }
+    // One task that is done proves its gang done, also to a holder that was not there: those that were
+    // started again meanwhile would wait for it in vain.
+    if (job.spec.kind == JobKind::Gang && job.done > 0) {
+        job.gang_done = true;
+        for (std::size_t i = first; i < last; ++i)
+            if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
+    }
     for (std::size_t i = first; i < last; ++i)
         if (job.slots[i].state == SlotState::Binding) touch(job, part);
     if (part == 0 && wire::text(value, "s") == "cancelled") cancel(job);
