--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -138,10 +138,14 @@
                                        back);
             if (call.method != "GET")
                 w.repeat([&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
-            if (const Micros late = call.path == "/commit" ? w.lateness(body) : 0; late > 0)
-                return w.at(w.now_ + late,
-                            [&w, call, body] { w.state_.handle(call.method, call.path, body, w.now_); });
-            return back(w.state_.handle(call.method, call.path, body, w.now_));
+            if (const auto late = call.path == "/commit" ? w.lateness(body) : std::nullopt)
+                return w.at(w.now_ + *late, [&w, call, body] {
+                    w.state_.handle(call.method, call.path, body, w.now_);
+                    w.watch_leader();
+                });
+            const Reply reply = w.state_.handle(call.method, call.path, body, w.now_);
+            if (call.path == "/commit") w.watch_leader();
+            return back(reply);
         }
         if (to == "cloud" && call.method != "GET")
             w.repeat([&w, call, body] { w.cloud_.handle(call.method, call.path, body, w.now_); });
@@ -168,6 +172,16 @@
                 if (Worker* x = w.worker(to); x && !w.workers_[to].hung)
                     x->handle(call.method, call.path, body, w.now_);
             });
+        if (call.method != "GET" && w.drawn(w.late_commands)) {
+            w.at(w.now_ + w.between(2 * kSecond, kLatestCommand), [&w, to, call, body] {
+                auto late = [&w, to, call, body] {
+                    if (Worker* x = w.worker(to)) x->handle(call.method, call.path, body, w.now_);
+                };
+                if (w.workers_[to].hung) return w.workers_[to].waiting.push_back(late);
+                late();
+            });
+            return;
+        }
         if (it->second.hung)
             it->second.waiting.push_back(execute);
         else
@@ -240,10 +254,11 @@
         return;
     }
     if (drawn(loss) || (from == "state" && drawn(answers_lost))) return;
-    at(now_ + delay(), std::move(deliver));
+    const Micros slow = from == "state" && slow_state > 0 ? between(0, slow_state) : 0;
+    at(now_ + delay() + slow, std::move(deliver));
 }
 
-Micros World::lateness(const Value& transaction) {
+std::optional<Micros> World::lateness(const Value& transaction) {
     const Value* then = wire::find(transaction, "then");
     for (auto it = late_next_.begin(); then && it != late_next_.end(); ++it) {
         const auto& [prefix, late] = *it;
@@ -258,7 +273,25 @@
         late_next_.erase(it);
         return so_late;
     }
-    return drawn(late_writes) ? between(2 * kSecond, kLatestWrite) : 0;
+    if (drawn(unanswered_writes)) return 0;
+    if (drawn(late_writes)) return between(2 * kSecond, kLatestWrite);
+    return std::nullopt;
+}
+
+void World::watch_leader() {
+    const Reply r = state_.handle("GET", "/store/c/leader", Value(), now_);
+    const Value* data = r.status == 200 ? wire::find(r.body, "data") : nullptr;
+    const std::string node = data ? wire::text(*data, "node").value_or("") : "";
+    if (node.empty() || node == led_by_) return;
+    led_by_ = node;
+    for (const auto& body : std::exchange(kept_reports_, {}))
+        for (int i = 0; i < node_count(); ++i)
+            at(now_ + delay(), [this, i, body] {
+                hand(i, [this, i, body] {
+                    if (node_count() > i && this->node(i))
+                        this->node(i)->handle({"POST", "/v1/report", body, false}, [](const auto&) {});
+                });
+            });
 }
 
 void World::repeat(std::function<void()> again) {
@@ -392,6 +425,11 @@
     workers_[machine].deaf = on;
 }
 
+void World::mute(const std::string& machine, bool on) {
+    note("machine " + machine + (on ? " reaches no controller" : " reaches controllers again"));
+    workers_[machine].mute = on;
+}
+
 // ---------------------------------------------------------------- nodes and machines
 
 void World::start_nodes(int count, std::set<int> old) {
@@ -427,6 +465,7 @@
     Node& n = nodes_[static_cast<std::size_t>(i)];
     if (!n.controller) return;
     note("loom-" + std::to_string(i) + " ends");
+    if (led_by_ == "loom-" + std::to_string(i)) led_by_.clear();
     n.host->alive = false;
     n.controller.reset();
     n.frozen = false;
@@ -483,7 +522,10 @@
 
 void World::boot_machines() {
     for (auto& [name, m] : cloud_.machines()) {
-        if (m.up || m.up_at > now_) continue;
+        if (m.up) continue;
+        if (m.up_at > m.rented && seen_rented_.insert(name).second && drawn(swift_boots))
+            m.up_at = std::min(m.up_at, m.rented + between(200 * kMillisecond, 2 * kSecond));
+        if (m.up_at > now_) continue;
         m.up = true;
         m.info.state = CloudState::Running;
         m.info.addr = "10.1." + std::to_string(workers_.size() / 250) + "." +
@@ -572,6 +614,11 @@
             if (node(target)) node(target)->handle({"POST", "/v1/report", body, false}, [](const auto&) {});
         });
     };
+    if (keep_reports_.erase(name) || drawn(reports_for_next)) kept_reports_.push_back(body);
+    if (r.mute) {
+        at(now_ + 4 * kSecond, [give_up, next = (target + 1) % node_count()] { give_up(next, kSecond); });
+        return;
+    }
     repeat(again);
     if (drawn(late_reports)) at(now_ + between(2 * kSecond, latest_report(settings.lease)), again);
     const int next = (target + 1) % node_count();
@@ -633,6 +680,29 @@
     try_cancel(ref);
 }
 
+std::vector<std::string> World::cancel_now(int count, Micros hang_for) {
+    std::vector<std::string> chosen;
+    for (const auto& [ref, u] : users_) {
+        const bool long_to_go =
+            u.info.spec.kind == JobKind::Service || (u.begun >= 0 && now_ - u.begun < u.info.run / 2);
+        if (u.told == "accepted" && !u.wants_cancel && long_to_go && running(ref) > 0) chosen.push_back(ref);
+    }
+    std::shuffle(chosen.begin(), chosen.end(), random);
+    chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(count)));
+    std::set<std::string> machines;
+    for (const auto& ref : chosen) {
+        for (const auto& m : machines_of(ref))
+            if (machines.size() < 8) machines.insert(m);
+        at(now_ + between(0, 200 * kMillisecond), [this, ref] { cancel(ref); });
+    }
+    if (hang_for == 0) return chosen;
+    for (const auto& m : machines) {
+        hang(m, true);
+        at(now_ + hang_for, [this, m] { hang(m, false); });
+    }
+    return chosen;
+}
+
 void World::user_call(const std::string& method, const std::string& path, const Value& body,
                       std::function<void(ApiResponse)> done) {
     std::vector<int> up;
@@ -889,7 +959,10 @@
         finished_gangs_.insert({ref, attempt});
         for (int i = 0; i < u.info.spec.tasks; ++i) u.done.insert(i);
     }
-    if (u.finished < 0 && static_cast<int>(u.done.size()) == u.info.spec.tasks) u.finished = now_;
+    if (u.finished >= 0 || static_cast<int>(u.done.size()) < u.info.spec.tasks) return;
+    u.finished = now_;
+    if (!u.wants_cancel && drawn(cancel_at_end))
+        at(now_ + between(0, 100 * kMillisecond), [this, ref] { cancel(ref); });
 }
 
 bool World::gang_complete(const std::string& ref, std::int64_t attempt) {
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -69,6 +70,11 @@
     void cut_off(int node, bool on);
     /// The machine's reports arrive; answers and direct commands to it are lost.
     void deafen(const std::string& machine, bool on);
+    /// The machine reaches no controller, while direct commands reach it, and their answers whoever sent
+    /// them.
+    void mute(const std::string& machine, bool on);
+    /// Part of the machines that are rented from now on and up within two seconds.
+    double swift_boots = 0;
     double loss = 0;
     double answers_lost = 0;  // of the state service
     /// Part of all reports, commands, changes, rental and users' requests that arrive once more, up to
@@ -84,10 +90,25 @@
     void late_next(const std::string& prefix, Micros after) { late_next_.emplace_back(prefix, after); }
     /// Those that are still waited for.
     std::size_t late_to_come() const { return late_next_.size(); }
+    /// Part of the transactions that are carried out at once and whose answer alone is lost, while other
+    /// controllers read what they wrote. `late_next` with 0 has it happen to the next of a kind.
+    double unanswered_writes = 0;
+    /// Answers of the state service are up to so much later.
+    Micros slow_state = 0;
+    /// Part of the direct commands that get no answer and are carried out once, 2 to 16 s later, if token and
+    /// session still match.
+    double late_commands = 0;
+    static constexpr Micros kLatestCommand = 16 * kSecond;
     /// Part of the workers' reports of which a copy arrives again at the same node, from 2 s to two and a
     /// half leases later.
     double late_reports = 0;
     static constexpr Micros latest_report(Micros lease) { return lease * 5 / 2; }
+    /// Part of the workers' reports of which a copy is kept until another controller leads, or the same one
+    /// after an end, and reaches all controllers then.
+    double reports_for_next = 0;
+    /// The same for the next report of a machine.
+    void keep_report(const std::string& machine) { keep_reports_.insert(machine); }
+    std::size_t reports_kept() const { return kept_reports_.size(); }
     /// Commands that were carried out as well. The protocol has one that must not be: a launch after a clear.
     bool repeat_commands = false;
     /// A zone is cut off, its controllers with it, or all in it ends; and it is back: its controllers at
@@ -118,6 +139,12 @@
     void remember_running();
     std::vector<std::string> refs() const;
     void cancel(const std::string& ref);
+    /// Users call off so many jobs that run and have long to go (services, and what has at least half of its
+    /// run time left), within a fifth of a second; up to eight of their machines hang for so long. Those
+    /// jobs.
+    std::vector<std::string> cancel_now(int count, Micros hang);
+    /// Part of the jobs that end which their users call off at that moment.
+    double cancel_at_end = 0;
     ApiResponse ask(int node, const std::string& method, const std::string& path, const Value& body);
     ApiResponse ask_raw(int node, const std::string& method, const std::string& path,
                         const std::string& body);
@@ -165,6 +192,7 @@
         bool in_flight = false;
         bool hung = false;
         bool deaf = false;
+        bool mute = false;
         Micros next = 0;
         Micros last = 0;
         std::uint64_t generation = 0;
@@ -194,8 +222,10 @@
     void send(const std::string& from, const std::string& to, std::function<void()> deliver);
     /// Hands something to a node's process, once it does not stand still.
     void hand(int node, std::function<void()> what, bool timer = false);
-    /// How late a transaction is carried out, 0: at once.
-    Micros lateness(const Value& transaction);
+    /// How late a transaction is carried out without an answer, 0: at once.
+    std::optional<Micros> lateness(const Value& transaction);
+    /// The controller that leads by the state service, with the mark of its record, as that changes.
+    void watch_leader();
     /// Has `again` happen a second time, now and then.
     void repeat(std::function<void()> again);
     bool drawn(double part) {
@@ -237,6 +267,10 @@
     std::vector<std::tuple<std::string, std::string, std::function<void()>>> held_;
     std::set<std::pair<std::string, std::string>> hold_next_;
     std::vector<std::function<void()>> kept_back_;
+    std::set<std::string> keep_reports_;
+    std::vector<std::string> kept_reports_;  // bodies, for the next leader
+    std::string led_by_;
+    std::set<std::string> seen_rented_;                      // whose time to boot is drawn
     std::vector<std::pair<std::string, Micros>> late_next_;  // prefix of a key, and how late
     std::map<std::string, User> users_;
     std::map<std::pair<std::string, int>, std::map<std::string, std::int64_t>> on_;
