What began for being overdue is not stopped for what would stand behind it

Change: a task whose job would be overdue again makes way for live work only. Conclusion: a victim has to stand behind what it is stopped for also by the order.

--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -828,6 +828,14 @@
             saves ? saving : 0};
 }
 
+/// Whether, with its only task stopped, it would be overdue again: then it goes before all but live work,
+/// comes back to the same room first, and neither runs.
+bool Planner::comes_back_first(const Job& job) const {
+    if (job.bound > 1 || job.done > 0 || job.held) return false;
+    const Micros age = (context_.host().wall_ms() - job.since_ms) * kMillisecond;
+    return tier(job) != policy::Tier::Live && age >= context_.policy().priority.begin_within;
+}
+
 /// What would be lost by making room for one more task on the machine, if that can be done; `taken` tells
 /// what would have to be stopped, nothing if enough is stopping already.
 std::optional<double> Planner::room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
@@ -836,6 +844,7 @@
     if (auto claimed = claimed_.find(&m); claimed != claimed_.end()) room -= claimed->second;
     std::vector<std::pair<Job*, Slot*>> may_stop;
     Resources most;
+    const bool live = tier(job) == policy::Tier::Live;
     for (const auto& [other, task] : m.tasks) {
         Slot& slot = other->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound) continue;
@@ -852,6 +861,7 @@
         const bool reclaim = reclaims && other->rank >= job.rank && other->spec.team != job.spec.team &&
                              !context_.within_guarantee(other->spec.ref);
         if (!lower && !reclaim) continue;
+        if (!live && comes_back_first(*other)) continue;
         if (other->spec.kind == JobKind::Service && !reclaim) continue;
         may_stop.emplace_back(other, &slot);
         most += other->spec.need;
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -81,6 +81,7 @@
         Micros grace;
     };
     Victim victim(Slot& slot, Job& job, bool hurries) const;
+    bool comes_back_first(const Job& job) const;
     std::optional<double> room_for(const Job& job, const Machine& m, bool may_waste, bool reclaims,
                                    bool hurries, std::vector<Victim>& taken) const;
     void weigh_cards();
--- a/tests/starvation_test.cpp
+++ b/tests/starvation_test.cpp
@@ -102,5 +102,33 @@
     EXPECT_RULES(w);
 }
 
+/// The room of what has begun since it was overdue is not taken back for another team's guarantee: it would
+/// be overdue again, come back to the same room first, and neither would run.
+TEST(Starvation, WhatBeganForBeingOverdueIsNotStoppedForAGuarantee) {
+    auto w = calm(9, 2);
+    w->cloud().capacity = 0;
+    int number = 100;
+    auto later = [&](Micros at, const std::string& team, Rank rank, JobKind kind, int tasks, double cores,
+                     Micros run) {
+        JobSpec s = ranked(*w, number++, rank, kind, tasks, cores);
+        s.team = team;
+        if (kind == JobKind::Service) s.zone = "a";  // one of the two machines
+        w->at(w->now() + at, [&w, s, run] { w->submit(s, run); });
+    };
+    later(0, "red", Rank::Production, JobKind::Service, 8, 1, 0);  // red's guarantee
+    for (int i = 0; i < 100; ++i)
+        later((1 + 2 * i) * kSecond, "red", Rank::Normal, JobKind::Array, 1, 4, 7 * kSecond);
+    for (int i = 0; i < 40; ++i)
+        later((40 + 6 * i) * kSecond, "blue", Rank::Normal, JobKind::Array, 1, 4, 5 * kSecond);
+    // What is overdue longest; by the work that is left it stands last until then.
+    JobSpec large = ranked(*w, 1, Rank::Normal, JobKind::Array, 1, 4);
+    large.estimate = 900 * kSecond;
+    w->at(w->now() + 20 * kSecond, [&] { w->submit(large, 40 * kSecond); });
+    w->run(280 * kSecond);
+    EXPECT_EQ(w->told(large.ref), "done") << w->story();
+    EXPECT_EQ(w->starts(large.ref), 1) << w->story();
+    EXPECT_RULES(*w);
+}
+
 }  // namespace
 }  // namespace cottonway::test
