The lab lists a machine that died as failed 30 s later, as the protocol says

Cause: machines that died stayed listed as running for ever, so none was rented in their place before their silence was noticed by a holder that lived long enough.

--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -16,6 +16,7 @@
     return a < b ? std::pair(a, b) : std::pair(b, a);
 }
 constexpr Micros kStep = 50 * kMillisecond;
+constexpr Micros kListedOn = 30 * kSecond;  // as running, of a machine that died
 constexpr Micros kNever = 1'000'000 * kSecond;
 }  // namespace
 
@@ -557,6 +558,11 @@
     if (it == workers_.end() || !it->second.worker) return;
     note("machine " + name + " is gone");
     it->second.worker.reset();
+    // One that was not deleted is listed as running for a while yet, then as failed until it is.
+    at(now_ + kListedOn, [this, name] {
+        if (auto m = cloud_.machines().find(name); m != cloud_.machines().end())
+            m->second.info.state = CloudState::Failed;
+    });
 }
 
 void World::hang(const std::string& name, bool on) {
