A leader deals with the cloud within its authority, and counts what the one before had rented

Cause: a leader that is cut off from the store does not hear that another leads. It went on renting what was missing when it was cut off, and deleted machines that came up late, by its list, though the new leader had leased them: their tasks were lost. And a leader that had just begun knew of no machine that was neither leased nor listed yet, so where boots take longer than its pause of 3 s it rented all of that once more: 72 cores where 40 were wanted, given back after 30 s of idling and paid for a minute at least.

Change: rentals and deletions rest on `Leadership::acting`, which ends with the authority. Every controller remembers what the leader last told of its balance, rentals on their way included; a new leader counts at least that until the list must tell of it (thrice its lag and 2 s). The stand-in's cloud list can lag as the protocol has it (`list_lag`).

Conclusion: what a leader ordered in its last half second, and what is ordered before all controllers end, is still not known to the next one and may be rented twice; it is given back when idle.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -63,10 +63,12 @@
     }
     if (!leadership_.leading()) {
         was_leading_ = false;
+        if (const auto told = peers_.balance(); told.term > 0) counted_ = {told.ordinary, told.total, now};
         return;
     }
     if (!was_leading_) {
         was_leading_ = true;
+        inherited_ = counted_;
         leading_since_ = now;
         // Rental names hold the mark of the leader's term, which no other term shares, so none is ever used
         // twice.
@@ -92,10 +94,11 @@
             if (r.status == 200) replica_.learn(r.body);
         });
     }
-    for (auto& [name, rental] : rentals_)
-        if (!rental.in_flight && now >= rental.not_before) send(rental);
     weigh();
     log_balance();
+    if (!leadership_.acting()) return;
+    for (auto& [name, rental] : rentals_)
+        if (!rental.in_flight && now >= rental.not_before) send(rental);
     remove();
     rent();
 }
@@ -160,10 +163,9 @@
 /// and ends the doubt about its tasks much sooner than their lease would.
 void Fleet::list_complete() {
     const Micros now = host_.now();
-    const Micros settled = 3 * settings_.list_lag + 2 * kSecond;
     for (auto it = first_listed_.begin(); it != first_listed_.end();) {
         const std::string& name = it->first;
-        if (listing_now_.count(name) || now - it->second < settled) {
+        if (listing_now_.count(name) || now - it->second < listed_by()) {
             ++it;
             continue;
         }
@@ -202,6 +204,14 @@
                 if (!m.retired) add(type->size.cores, block.spot);
     for (const auto& [name, b] : booting_)
         if (const auto* type = replica_.types.find(b.type)) add(type->size.cores, b.spot);
+    for (const auto& [name, r] : rentals_)
+        if (const auto* type = replica_.types.find(r.type)) add(type->size.cores * r.count, r.spot);
+    // What the leader before has rented may be neither up nor listed yet: it must not be rented again.
+    counted_ = {balance_.ordinary, balance_.total, now};
+    if (inherited_.at > 0 && now - inherited_.at < listed_by()) {
+        balance_.ordinary = std::max(balance_.ordinary, inherited_.ordinary);
+        balance_.total = std::max(balance_.total, inherited_.total);
+    }
     // Teams without a guarantee take what is left over: nothing is rented for them.
     struct Demand {
         Milli limit, ordinary = 0, flexible = 0;
@@ -364,10 +374,6 @@
     for (const auto& [id, block] : replica_.blocks.all())
         per_zone[block.zone] += static_cast<int>(block.machines.size());
     for (const auto& [name, b] : booting_) ++per_zone[b.zone];
-    Milli coming = 0;
-    for (const auto& [name, r] : rentals_)
-        if (const auto* t = replica_.types.find(r.type); t && r.spot != need_ordinary)
-            coming += t->size.cores * r.count;
 
     // The cheapest core first; among equals the zone with the fewest machines.
     struct Offer {
@@ -396,9 +402,8 @@
                     {(spot ? t.spot_price : t.price) / cores, per_zone[zone], shape, t.size.cores});
             }
     std::sort(offers.begin(), offers.end());
-    Milli short_of = (need_ordinary ? balance_.wanted_ordinary - balance_.ordinary
-                                    : balance_.wanted_total - balance_.total) -
-                     coming;
+    Milli short_of =
+        need_ordinary ? balance_.wanted_ordinary - balance_.ordinary : balance_.wanted_total - balance_.total;
     for (std::size_t i = 0; i < offers.size() && short_of > 0 && rentals_.size() < kMaxRentals; ++i) {
         // The same price in several zones: the zones share it.
         const auto alike = std::count_if(offers.begin() + static_cast<std::ptrdiff_t>(i), offers.end(),
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -54,6 +54,8 @@
     };
 
     void weigh();
+    /// How long it takes at most until the list tells of what has been rented.
+    Micros listed_by() const { return 3 * settings_.list_lag + 2 * kSecond; }
     void log_balance();
     void list(const std::string& since);
     void on_listed(const CloudMachine& m);
@@ -97,6 +99,14 @@
     std::set<std::string> forgetting_;      // deleted, their records still list them
     std::map<std::string, Micros> doomed_;  // never reported: to be deleted
     peer::FleetBalance balance_;
+    /// Cores that the leader, whoever it is, has last counted as there or coming; and, for a new one, what
+    /// the one before counted, for as long as the list may not tell of it yet.
+    struct Counted {
+        Milli ordinary = 0;
+        Milli total = 0;
+        Micros at = 0;
+    };
+    Counted counted_, inherited_;
     std::map<std::string, Micros> first_listed_;
     std::set<std::string> listing_now_;
     Micros reclaimed_at_ = 0;
--- a/src/core/leadership.hpp
+++ b/src/core/leadership.hpp
@@ -2,6 +2,7 @@
 // Who leads: the leader leases blocks of machines and deals with the cloud. One stored value names it; its
 // mark is the term.
 
+#include "core/authority.hpp"
 #include "core/presence.hpp"
 #include "replica/replica.hpp"
 
@@ -22,6 +23,9 @@
     void consider();
     /// Whether this process leads, and knows all that the former leader has done.
     bool leading() const { return ready_ && led_mark_ != 0 && led_mark_ == replica_.members.leader().mark; }
+    /// Whether it may also deal with the cloud by what it knows. One that is cut off from the store does not
+    /// hear that another leads, so it rents and deletes only within its authority.
+    bool acting() const { return leading() && entitled(feed_.confirmed_ago(), settings_); }
     Revision term() const { return replica_.members.leader().mark; }
     const std::string& leader() const { return replica_.members.leader().holder; }
     /// Takes the lead anew: whatever of this term is still on its way to the store fails on the leader's
--- a/src/standin/standins.cpp
+++ b/src/standin/standins.cpp
@@ -413,6 +413,22 @@
     return name;
 }
 
+/// As of a moment in the past.
+void Cloud::list(const std::string& name, Machine& m, Micros as_of, Value& to) const {
+    static const char* const states[] = {"starting", "running", "failed"};
+    m.listed = m.listed || m.rented <= as_of;
+    if (!m.listed || (m.gone_at > 0 && m.gone_at <= as_of)) return;
+    const bool then_up = m.up_at <= as_of || list_lag == 0;
+    const CloudState state = then_up ? m.info.state : CloudState::Starting;
+    to.push_back(Value{{"ref", name},
+                       {"addr", then_up ? m.info.addr : ""},
+                       {"loom_type", m.info.type},
+                       {"mill", m.info.zone},
+                       {"remnant", m.info.spot},
+                       {"stage", states[static_cast<int>(state)]},
+                       {"held_s", static_cast<double>(std::max<Micros>(as_of - m.rented, 0)) / 1e6}});
+}
+
 Reply Cloud::handle(const std::string& method, const std::string& path, const Value& body, Micros now) {
     if (down) return {503, Value{{"error", "trouble"}}};
     if (method == "GET" && path == "/machine_types") {
@@ -451,24 +467,22 @@
         if (const Value* names = wire::find(body, "frames"))
             for (const auto& n : *names) {
                 const auto name = n.get<std::string>();
-                if (machines_.erase(name)) ++capacity;
+                if (auto m = machines_.extract(name)) {
+                    ++capacity;
+                    m.mapped().gone_at = now;
+                    if (list_lag > 0) gone_.insert(std::move(m));
+                }
                 if (on_delete) on_delete(name);
             }
         return {200, Value::object()};
     }
     if (method == "GET" && starts_with(path, "/machines?")) {
-        Value list = Value::array();
-        for (const auto& [name, m] : machines_) {
-            static const char* const states[] = {"starting", "running", "failed"};
-            list.push_back(Value{{"ref", name},
-                                 {"addr", m.info.addr},
-                                 {"loom_type", m.info.type},
-                                 {"mill", m.info.zone},
-                                 {"remnant", m.info.spot},
-                                 {"stage", states[static_cast<int>(m.info.state)]},
-                                 {"held_s", static_cast<double>(now - m.rented) / 1e6}});
-        }
-        return {200, Value{{"frames", list}, {"has_next", false}}};
+        Value frames = Value::array();
+        const Micros as_of =
+            now - (list_lag > 0 ? list_lag + static_cast<Micros>(random_()) % (list_lag + 1) : 0);
+        for (auto& [name, m] : machines_) list(name, m, as_of, frames);
+        for (auto& [name, m] : gone_) list(name, m, as_of, frames);
+        return {200, Value{{"frames", std::move(frames)}, {"has_next", false}}};
     }
     return {404, Value::object()};
 }
--- a/src/standin/standins.hpp
+++ b/src/standin/standins.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -165,6 +166,8 @@
         Micros rented = 0;
         Micros up_at = 0;
         bool up = false;
+        bool listed = false;
+        Micros gone_at = 0;  // 0: it is there
     };
     explicit Cloud(std::vector<MachineType> types) : types_(std::move(types)) {}
 
@@ -177,10 +180,19 @@
     std::function<void(const std::string&)> on_delete;
     int capacity = 1000;
     bool down = false;
+    /// A list is as old as this, or up to twice as old: new machines are missing until then, and those that
+    /// are gone still appear. Once listed, a machine stays listed until it is gone.
+    Micros list_lag = 0;
+    /// Names of the rentals that were carried out, with how many machines each got.
+    const std::map<std::string, std::vector<std::string>>& rentals() const { return requests_; }
 
   private:
+    void list(const std::string& name, Machine& m, Micros as_of, Value& to) const;
+
     std::vector<MachineType> types_;
     std::map<std::string, Machine> machines_;
+    std::map<std::string, Machine> gone_;  // and maybe still listed
+    std::minstd_rand random_;
     std::map<std::string, std::vector<std::string>> requests_;
     int next_ = 1;
 };
--- a/tests/calm.hpp
+++ b/tests/calm.hpp
@@ -3,10 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
 #include "lab/world.hpp"
+#include "state/records.hpp"
 
 #define EXPECT_RULES(w) EXPECT_TRUE((w).broken.empty()) << (w).broken.front() << "\n" << (w).story()
 
@@ -27,4 +29,24 @@
     return w;
 }
 
+/// How often each machine stands in the block records.
+inline std::map<std::string, int> leased(lab::World& w) {
+    std::map<std::string, int> times;
+    const auto page = w.state().handle("GET", "/store?starts=c/block/&page=1000", Value(), w.now());
+    for (const auto& p : page.body["pairs"]) {
+        const auto block = Block::parse("", p["data"], 1);
+        for (const auto& m : block->machines) ++times[m.name];
+    }
+    return times;
+}
+
+/// Every machine that there is stands in one block, once; and no block lists one that is gone.
+inline void expect_each_machine_leased_once(lab::World& w, const char* when = "") {
+    auto times = leased(w);
+    for (const auto& name : w.machine_names())
+        EXPECT_EQ(times[name], 1) << name << " " << when << "\n" << w.story();
+    for (const auto& [name, n] : times)
+        EXPECT_TRUE(w.worker(name)) << name << " is gone, " << when << "\n" << w.story();
+}
+
 }  // namespace cottonway::test
