A repeated submission never takes the place of the job that was accepted

Cause: a user repeats a submission at the holder of the job's domain, which hasn't heard yet that another controller admitted it. Where the holder's own admission waited for room in the store, the news of the record was taken for the outcome of that admission: the next write went out on the record's mark, was answered 201, and stored the repeat's description over the accepted one. Where it got no answer, the record that was read was taken for its own in the same way. Change: an admission that still waits gives way to a record that is there, and one without an answer to a record that describes the job differently; the job is then taken in as the record has it. Result: ARepeatWithAnotherBodyNeverTakesTheJobsPlace failed before with "accepted before and is answered 201" and with jobs of one task that started three; it passes. Not run yet: the rest of the suite. Conclusion: a user who repeats himself word for word was told 201 instead of 200; one who doesn't got another job.

--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -77,6 +77,9 @@
         return;
     }
     Job& job = *known;
+    // The job is there: admitted by another controller, or by an earlier try that came late. What waits here
+    // to be written would take its place.
+    if (job.admitting && !job.parts[0].in_flight) return not_admitted(job, CommitStatus::Conflict);
     const bool late = place == Place::Job && job.place == Place::Active && wire::find(value, "d");
     // Cancelled is final, so it holds at once, whatever of the record is being written or read: with the
     // store out of reach that may take for long, and leases go on being renewed by the look that told of it.
@@ -601,6 +604,13 @@
         return context_.settled(ref, r.value, r.mark);
     }
     if (index == 0 && wire::text(r.value, "dom") != domain_) return given_away(*job);
+    // Our admission got no answer, and the job is there as another describes it, whose admission this is.
+    if (const Value* spec = wire::find(r.value, "d");
+        index == 0 && job->parts[0].mark == 0 && spec && *spec != wire::job_value(job->spec)) {
+        given_away(*job);
+        on_job(ref, place, r.value, r.mark);
+        return take_heard(ref);
+    }
     if (index == 0) {
         job->place = place;
         job->shadow = shadow;
