A machine that is late is not counted as coming

Change: beyond twice their type's boot and the list's lag they are not counted, so that others are rented in their place; one that comes after all is surplus and returned as usual.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr int kMaxAtOnce = 50;
 constexpr std::size_t kMaxRentals = 4;
 // A dead machine is listed as failed before this; one that is only cut off comes back, with its images.
+constexpr Micros kLateBoots = 2;  // times its type's, from when on a machine may never come up
 constexpr Micros kSilent = 90 * kSecond;
 constexpr Micros kForget = 120 * kSecond;  // a peak of demand halves in this time
 constexpr Micros kAverage = 60 * kSecond;
@@ -142,7 +143,7 @@
     if (leased) return;
     if (!booting_.count(m.name)) {
         // Rented by another term, or by a request that was carried out late.
-        booting_.emplace(m.name, Booting{m.type, m.zone, m.spot});
+        booting_.emplace(m.name, Booting{m.type, m.zone, m.spot, now - m.age});
         spdlog::debug("machine {}: in the cloud's list, not leased yet", m.name);
     }
     // Up and with an address: leased at once, so that its first report finds its holder.
@@ -188,6 +189,10 @@
     leases_.retire(machine);
 }
 
+bool Fleet::late(const Booting& b, const MachineType& type) const {
+    return host_.now() - b.since > kLateBoots * type.boot + settings_.list_lag;
+}
+
 void Fleet::weigh() {
     const Micros now = host_.now();
     const Settings& s = settings_;
@@ -203,7 +208,8 @@
             for (const auto& m : block.machines)
                 if (!m.retired) add(type->size.cores, block.spot);
     for (const auto& [name, b] : booting_)
-        if (const auto* type = replica_.types.find(b.type)) add(type->size.cores, b.spot);
+        if (const auto* type = replica_.types.find(b.type); type && !late(b, *type))
+            add(type->size.cores, b.spot);
     for (const auto& [name, r] : rentals_)
         if (const auto* type = replica_.types.find(r.type)) add(type->size.cores * r.count, r.spot);
     // What the leader before has rented may be neither up nor listed yet: it must not be rented again.
@@ -445,7 +451,7 @@
             spdlog::info("rented {} of {} {} in {}{}", names->size(), x.count, x.type, x.zone,
                          x.spot ? ", spot" : "");
             for (const auto& n : *names)
-                if (!replica_.blocks.of(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot});
+                if (!replica_.blocks.of(n)) booting_.emplace(n, Booting{x.type, x.zone, x.spot, host_.now()});
             if (static_cast<int>(names->size()) < x.count)
                 refused_until_[shape] = now + 15 * kSecond;
             else
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -45,6 +45,7 @@
         std::string type;
         std::string zone;
         bool spot = false;
+        Micros since = 0;  // rented
     };
     struct Shape {
         std::string type;
@@ -56,6 +57,9 @@
     void weigh();
     /// How long it takes at most until the list tells of what has been rented.
     Micros listed_by() const { return 3 * settings_.list_lag + 2 * kSecond; }
+    /// Whether it has taken so long that it may never come up: it is not counted as coming any more, so that
+    /// work does not wait for it. Should it come, one too many is returned as usual.
+    bool late(const Booting& b, const MachineType& type) const;
     void log_balance();
     void list(const std::string& since);
     void on_listed(const CloudMachine& m);
--- a/tests/swift_machines_test.cpp
+++ b/tests/swift_machines_test.cpp
@@ -151,5 +151,28 @@
     EXPECT_RULES(*w);
 }
 
+/// Work waits for a machine that is coming no longer than such a one may take; one that never comes up, and
+/// is returned a good deal later, is replaced by then.
+TEST(LateMachines, OneThatNeverComesUpHoldsNobodyUp) {
+    auto w = calm(3, 2);
+    w->cloud().capacity = 30;
+    const auto before = w->machine_names();
+    JobSpec s = w->job(1, JobKind::Service, 20);
+    s.rank = Rank::Production;
+    s.spot = false;
+    w->submit(s, 0);
+    std::size_t stuck = 0;
+    for (int i = 0; i < 20 && stuck == 0; ++i) {
+        w->run(500 * kMillisecond);
+        for (auto& [name, m] : w->cloud().machines())
+            if (!m.up) m.up_at = 3600 * kSecond, ++stuck;
+    }
+    ASSERT_GT(stuck, 0u) << w->story();
+    const Micros boot = small_types().front().boot;
+    w->run(2 * boot + w->settings.list_lag + boot + 8 * kSecond);
+    EXPECT_EQ(w->running(s.ref), s.tasks) << w->story();
+    EXPECT_RULES(*w);
+}
+
 }  // namespace
 }  // namespace cottonway::test
