--- a/tests/moves_world_test.cpp
+++ b/tests/moves_world_test.cpp
@@ -145,6 +145,14 @@
     b.expect_balanced("undisturbed");
 }
 
+TEST(MovesInTheWorld, APlanWhoseAnswersAreLostIsCarriedOutOnce) {
+    Balance b(2);
+    for (int i = 0; i < 3; ++i) b.w.late_next("c/plan/", 0);
+    b.run(60 * kSecond);
+    EXPECT_EQ(b.w.late_to_come(), 0U) << b.w.story();
+    b.expect_balanced("answers lost");
+}
+
 TEST(MovesInTheWorld, AnEndOfTheHolderAtEveryStepMovesNothingTwice) {
     for (const Step& step : steps())
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
