Old reports as a new leader begins, mute machines, lost zones and held commands have tests; what they found is mended

Found, each by a test that was seen to fail without the mend: - the last report of a machine that was returned was enough for a process started since to lease it again; - a report that shows an attempt which is over held its task up for as long as its machine was not returned; - one old result of a gang that waited again was taken for one task's, and the rest waited for it in vain; - what was proven gone by time alone stayed in its job's record, so each new holder had to prove it again (an authority and a lease, 28 s at the lab's site), and the task could not start though there was room; - while a machine could not be heard, idle ones were returned as surplus, and its task then waited for rentals (76 s after the cut); - any answer to a call made a machine that reaches no controller usable again, so tasks longer than a lease began there in vain; and one that stayed deaf was kept and paid for ever.

Change: a machine in no block is leased by its report once it has answered a call. What a machine showed and must not be there counts for its lease as what is bound there does. One result is the whole gang's, bound there or not. What is proven gone from a machine that can't be heard is written down, from what is left of the budget. What is of no use now is no reason to return what is. Only reports make a machine usable; one that has not reported, or not shown that it hears, for a lease and 90 s is returned once nothing can be on it.

That unanswered launches stay in doubt no new test notices; an older one does.

--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -26,7 +26,11 @@
 void Owner::gone(Job& job, int task, Micros retry_in) {
     Slot& slot = job.slots[static_cast<std::size_t>(task)];
     if (slot.state != SlotState::Binding && slot.state != SlotState::Bound) return;
+    // What is proven gone from a machine that can't be heard is written down, bound elsewhere or not: a next
+    // holder would have to wait for the former one's authority and a lease to prove it once more.
+    const bool durable = slot.state == SlotState::Bound && useless_for(*slot.machine) > patience();
     set_idle(job, slot);
+    if (durable) touch(job, static_cast<std::size_t>(task) / job.part_tasks);
     const Micros now = context_.host().now();
     slot.retry_at = now + retry_in;
     if (job.idle == 1) job.waiting_since = now;
@@ -83,20 +87,24 @@
     job.gang_stopping = false;
 }
 
+/// A worker tells of a task's result, whether the task is still bound there or not.
+void Owner::completed(Job& job, int task) {
+    mark_done(job, task);
+    if (job.spec.kind != JobKind::Gang) return;
+    // A gang completes together: if one task is done, all of them are. On a machine that is silent they still
+    // count until they are proven gone.
+    job.gang_done = true;
+    for (std::size_t i = 0; i < job.slots.size(); ++i)
+        if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
+}
+
 void Owner::exited(Machine& m, Job& job, int task, ExitCause cause) {
     Slot& slot = job.slots[static_cast<std::size_t>(task)];
     const Micros now = context_.host().now();
     if (cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         proved(job);
         spdlog::debug("task {}/{}: done on {}", job.spec.ref, task, m.name);
-        mark_done(job, task);
-        if (job.spec.kind == JobKind::Gang) {
-            // A gang completes together: if one task is done, all of them are. On a machine that is silent
-            // they still count until they are proven gone.
-            job.gang_done = true;
-            for (std::size_t i = 0; i < job.slots.size(); ++i)
-                if (job.slots[i].state == SlotState::Idle) mark_done(job, static_cast<int>(i));
-        }
+        completed(job, task);
         return;
     }
     Micros retry = 0;
@@ -112,7 +120,7 @@
 
 /// A message that arrives while the jobs are still being read: its tasks can't be told from strays yet, and
 /// must not be stopped as such. Only the session and the token count.
-void Owner::greet(Machine& m, const Report& r) {
+void Owner::greet(Machine& m, const Report& r, bool is_report) {
     if (r.session < m.session) return;
     if (r.session > m.session) {
         m.seq = 0;
@@ -122,6 +130,7 @@
     m.token_seen = std::max(m.token_seen, r.token);
     m.heard = m.greeted = context_.host().now();
     m.listened = context_.host().listened();
+    if (is_report) m.report_listened = m.listened;
 }
 
 /// Whether a report, which is news, tells that the worker has lately had an answer from a controller. Without
@@ -151,7 +160,7 @@
     m.token_seen = std::max(m.token_seen, r.token);
     m.heard = now;
     m.listened = context_.host().listened();
-    if (is_report) m.reported = now;
+    if (is_report) m.reported = now, m.report_listened = m.listened;
     if (r.notice && !m.notice) {
         m.notice = true;
         m.notice_end = now + *r.notice;
@@ -184,7 +193,7 @@
                 exited(m, *job, t.task, t.cause);
                 break;
             case Verdict::Result:
-                mark_done(*job, t.task);
+                completed(*job, t.task);
                 break;
             case Verdict::Stray:
                 ledger_.add_stray(m, t);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -273,7 +273,15 @@
     auto ours = [part](Milli surplus) {
         return static_cast<Milli>(static_cast<double>(std::max<Milli>(surplus, 0)) * std::min(part, 1.0));
     };
-    return {ours(balance.ordinary - balance.wanted_ordinary), ours(balance.total - balance.wanted_total)};
+    Surplus surplus{ours(balance.ordinary - balance.wanted_ordinary),
+                    ours(balance.total - balance.wanted_total)};
+    // What is of no use now is no reason to return what is, to which its work will have to go.
+    for (const auto& [name, m] : owner.machines()) {
+        if (m->retired || !m->type || owner.useless_for(*m) <= owner.patience()) continue;
+        surplus.total -= m->type->size.cores;
+        if (!m->spot) surplus.ordinary -= m->type->size.cores;
+    }
+    return surplus;
 }
 
 /// Surplus ordinary machines that batch work keeps busy are emptied, the least used ones first.
@@ -300,8 +308,8 @@
     for (const auto& [name, m] : owner.machines()) {
         if (m->retired || m->retiring || m->leaving) continue;
         const Micros silent = owner.silent_for(*m);
-        if (m->tasks.empty() && now - holding_since_ > s.lease && silent > s.lease + kSilent) {
-            owner.retire(name, "it is silent");
+        if (m->tasks.empty() && now - holding_since_ > s.lease && owner.useless_for(*m) > s.lease + kSilent) {
+            owner.retire(name, m->suspect ? "it does not hear us" : "it does not report");
         } else if (m->notice && now > m->notice_end + 2 * kSecond &&
                    silent > s.report_every * 5 / 4 + kSecond) {
             owner.retire(name, "it was taken");
--- a/src/core/machine.hpp
+++ b/src/core/machine.hpp
@@ -54,6 +54,7 @@
     Micros heard = 0;               // by the steady clock, for what is proven by time
     Micros listened = 0;            // the same in time spent listening, for what is merely unheard
     Micros reported = 0;            // when its last report was taken in
+    Micros report_listened = 0;     // the same in time spent listening, or when it became known here
     Micros greeted = 0;             // when it last reported before the domain's jobs were read
     Micros session_since = 0;       // when its session was first heard of
     Micros known_since = 0;
@@ -89,13 +90,14 @@
     bool relayed = false;  // its last report came through another controller
     Micros relayed_since = 0;
     Micros probed_at = 0;
-    bool suspect = false;   // a call of ours was not answered; until it has shown that it hears us
-    bool due = false;       // in the owner's list of machines to send to
-    bool raising = false;   // its token is being raised
-    bool retiring = false;  // being marked as retired
-    bool leaving = false;   // being given to another domain
-    bool draining = false;  // nothing new is bound to it
-    Micros idle_since = 0;  // in time spent listening
+    bool suspect = false;      // a call of ours was not answered; until it has shown that it hears us
+    Micros suspect_since = 0;  // in time spent listening
+    bool due = false;          // in the owner's list of machines to send to
+    bool raising = false;      // its token is being raised
+    bool retiring = false;     // being marked as retired
+    bool leaving = false;      // being given to another domain
+    bool draining = false;     // nothing new is bound to it
+    Micros idle_since = 0;     // in time spent listening
     Micros avoid_until = 0;
     std::set<std::string> error_jobs;  // whose tasks fail here though they run elsewhere
     /// Images that it has, or is fetching for a task; most recent last.
@@ -106,6 +108,8 @@
     };
     std::vector<Image> images;
 
+    /// Nothing is known to be on it, or taken to be there by what it showed last.
+    bool bare() const { return tasks.empty() && strays.empty(); }
     /// Heard through another controller only, and not reached by a call of ours since.
     bool out_of_reach() const { return relayed && direct_ok <= relayed_since; }
 };
--- a/src/core/mover.cpp
+++ b/src/core/mover.cpp
@@ -136,7 +136,7 @@
     std::map<std::string, std::pair<bool, bool>> zones;  // heard, in doubt
     for (const auto& [name, m] : ledger_.machines) {
         auto& [heard, doubt] = zones[m->zone];
-        const bool lately = m->seq > 0 && context_.host().listened() - m->listened < silent;
+        const bool lately = m->seq > 0 && context_.host().listened() - m->report_listened < silent;
         heard = heard || lately;
         doubt = doubt || (!lately && !m->tasks.empty());
     }
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -43,7 +43,7 @@
     if (active_)
         absorb(m, report, true);
     else
-        greet(m, report);
+        greet(m, report, true);
     Answer answer{token(m), {}, !m.out_of_reach()};
     // Until everything is read, which an outage may put off for long, a lease is not renewed for what is
     // known to be over.
@@ -225,7 +225,7 @@
         if (active_)
             absorb(x, *report, false);
         else
-            greet(x, *report);
+            greet(x, *report, false);
         // Asked again, if it must be, but not at once: what it tells may be no use for a while.
         if (r.status == 409 || x.seq == 0 || x.token_seen < token(x))
             x.direct_after = context_.host().now() + 100 * kMillisecond;
@@ -244,13 +244,18 @@
     });
 }
 
+/// It left a call unanswered.
+void Owner::suspect(Machine& m) {
+    if (!std::exchange(m.suspect, true)) m.suspect_since = context_.host().listened();
+}
+
 /// No connection came about, so nothing was or will be executed: what was to be launched can run elsewhere,
 /// and nothing more is bound there until the machine is heard of again.
 void Owner::not_sent(Machine& m, const std::set<AttemptKey>& launched) {
     const Micros now = context_.host().now();
     m.direct_backoff = std::clamp(m.direct_backoff * 2, kSecond, 8 * kSecond);
     m.direct_after = now + m.direct_backoff;
-    m.suspect = true;
+    suspect(m);
     for (const auto& key : launched) {
         Job* job = ledger_.job(key.job);
         if (!job) continue;
@@ -271,7 +276,7 @@
     for (const auto& key : launched) m.taints.insert({key, {sent_token, session, now}});
     m.direct_backoff = std::clamp(m.direct_backoff * 2, kSecond, 4 * kSecond);
     m.direct_after = now + m.direct_backoff;
-    m.suspect = true;
+    suspect(m);
     for (const auto& [job, task] : m.tasks) {
         Slot& slot = job->slots[static_cast<std::size_t>(task)];
         if (slot.state == SlotState::Bound && slot.launch_sent && !slot.seen) slot.launch_by_answer = false;
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -40,7 +40,7 @@
         owned = std::make_unique<Machine>();
         owned->name = entry.name;
         owned->known_since = context_.host().now();
-        owned->listened = owned->idle_since = context_.host().listened();
+        owned->listened = owned->report_listened = owned->idle_since = context_.host().listened();
         owned->promises.resize(context_.settings().peers.size());
     }
     Machine& m = *owned;
@@ -79,6 +79,17 @@
     return context_.host().listened() - m.listened;
 }
 
+/// A worker is of use while it reports, which renews its lease, and hears what it is told. What it answers to
+/// calls shows only the latter.
+Micros Owner::useless_for(const Machine& m) const {
+    const Micros listened = context_.host().listened();
+    return std::max(listened - m.report_listened, m.suspect ? listened - m.suspect_since : 0);
+}
+
+Micros Owner::patience() const {
+    return context_.settings().report_every * 5 / 2 + kSecond;
+}
+
 void Owner::drain(const std::string& machine, bool on) {
     auto it = ledger_.machines.find(machine);
     if (it == ledger_.machines.end() || it->second->draining == on) return;
@@ -97,7 +108,7 @@
     const Micros now = context_.host().now();
     return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.retired && !m.retiring && !m.leaving &&
            !m.draining && !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() &&
-           silent_for(m) < context_.settings().report_every * 5 / 2 + kSecond;
+           useless_for(m) < patience();
 }
 
 /// Whether every lease that the worker may hold has run out: what we granted, what a former holder may have
@@ -131,7 +142,7 @@
     const Micros half = context_.settings().lease / 2;
     for (const auto& [name, m] : ledger_.machines) {
         const bool unheard = silent_for(*m) > half || (m->token_seen < mark_ && now - taken_at_ > half);
-        if (unheard && !m->tasks.empty() && m->promises[peer].until < now + context_.settings().lease)
+        if (unheard && !m->bare() && m->promises[peer].until < now + context_.settings().lease)
             names.push_back(name);
     }
     return names;
@@ -173,7 +184,7 @@
                    (heard || !wanted(t.first.job));
         });
         if (raises) raise(m);
-        if (m.tasks.empty()) continue;
+        if (m.bare()) continue;
         if (lease_over(m)) {
             void_machine(m, "its lease is over");
             m.min_session = m.session + 1;
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -115,6 +115,10 @@
     const std::map<std::string, std::unique_ptr<Job>>& jobs() const { return ledger_.jobs; }
     void retire(const std::string& machine, const char* why);
     Micros silent_for(const Machine& m) const;
+    /// For how long it has not reported, or not shown that it hears us.
+    Micros useless_for(const Machine& m) const;
+    /// For how long it may be that before nothing more is bound to it.
+    Micros patience() const;
     void drain(const std::string& machine, bool on);
     /// Whether everything on it ends by itself before long and could have run elsewhere.
     bool passing(const Machine& m) const;
@@ -168,10 +172,12 @@
     bool over_since(const Machine& m, Micros last) const;
     bool hears(const Machine& m, const Report& r) const;
 
-    void greet(Machine& m, const Report& report);
+    void greet(Machine& m, const Report& report, bool is_report);
+    void suspect(Machine& m);
     void absorb(Machine& m, const Report& report, bool is_report);
     void absent(Machine& m, Job& job, int task, const Report& report, bool is_report);
     void exited(Machine& m, Job& job, int task, ExitCause cause);
+    void completed(Job& job, int task);
     void gone(Job& job, int task, Micros retry_in);
     Micros failed(Machine& m, Job& job, Slot& slot);
     void proved(Job& job);
--- a/src/core/relays.cpp
+++ b/src/core/relays.cpp
@@ -16,7 +16,9 @@
 constexpr Micros kRenounceEvery = 500 * kMillisecond;
 constexpr Micros kPeerTimeout = 800 * kMillisecond;
 constexpr Micros kRelayTimeout = 2 * kSecond;
-constexpr Micros kForgotten = 2;  // leases, until what a former process promised counts no more
+constexpr Micros kMeetTimeout = kSecond;
+constexpr std::size_t kMostMet = 64;  // machines in no block that are called at a time
+constexpr Micros kForgotten = 2;      // leases, until what a former process promised counts no more
 }  // namespace
 
 Relays::Relays(Host& host, const Settings& settings, const Feed& feed, const Replica& replica,
@@ -55,7 +57,8 @@
     help(r, *block, bytes, std::move(respond));
 }
 
-/// A machine in no block: the leader leases it, and sends it to the holder of its new block.
+/// A machine in no block: the leader leases it once it has answered a call. Its report may be all that is
+/// left of it, and a process that has started since does not know that it was returned.
 void Relays::unknown_machine(const Report& r, ApiResponder respond) {
     if (!leadership_.leading()) {
         const std::string& leader = leadership_.leader();
@@ -63,20 +66,37 @@
             return respond({421, wire::redirect(leader)});
         return respond(unavailable());
     }
-    if (!authorised() || leases_.returned(r.machine)) return respond(unavailable());
-    const bool asked = leases_.leasing(r.machine);
-    leases_.lease(
-        {r.machine, r.addr, 0, false, false}, r.type, r.zone, r.spot,
-        asked ? std::function<void()>() : [this, r, respond] {
-            const Block* block = replica_.blocks.of(r.machine);
-            if (!block) return respond(unavailable());
-            Owner* o = holdings_.find(block->domain);
-            if (auto a = o ? answer(*o, r) : std::nullopt) return respond(std::move(*a));
-            const Held* d = replica_.members.domain(block->domain);
-            if (o || !d) return respond(unavailable());
-            respond({421, wire::redirect(d->holder)});
-        });
-    if (asked) respond(unavailable());
+    const bool asks = !leases_.leasing(r.machine) && !r.addr.empty() && meeting_.size() < kMostMet;
+    if (!authorised() || leases_.returned(r.machine) || !asks || !meeting_.insert(r.machine).second)
+        return respond(unavailable());
+    Call call;
+    call.target = Target::Worker;
+    call.addr = r.addr;
+    call.timeout = kMeetTimeout;
+    call.method = "GET";
+    call.path = "/show";
+    host_.call(std::move(call), [this, r, respond = std::move(respond)](const Reply& reply) {
+        meeting_.erase(r.machine);
+        const auto shown = reply.status == 200 ? wire::parse_report(reply.body) : std::nullopt;
+        const bool there = shown && shown->machine == r.machine;
+        if (!there || !leadership_.leading() || !authorised() || replica_.blocks.of(r.machine))
+            return respond(unavailable());
+        lease(r, respond);
+    });
+}
+
+/// Leases a machine, answers its report if its block is ours, or sends it to the holder.
+void Relays::lease(const Report& r, const ApiResponder& respond) {
+    if (leases_.leasing(r.machine)) return respond(unavailable());
+    leases_.lease({r.machine, r.addr, 0, false, false}, r.type, r.zone, r.spot, [this, r, respond] {
+        const Block* block = replica_.blocks.of(r.machine);
+        if (!block) return respond(unavailable());
+        Owner* o = holdings_.find(block->domain);
+        if (auto a = o ? answer(*o, r) : std::nullopt) return respond(std::move(*a));
+        const Held* d = replica_.members.domain(block->domain);
+        if (o || !d) return respond(unavailable());
+        respond({421, wire::redirect(d->holder)});
+    });
 }
 
 /// A worker whose holder is another node. It is sent there; if it comes back, it can't reach it: then its
--- a/src/core/relays.hpp
+++ b/src/core/relays.hpp
@@ -2,6 +2,7 @@
 // Workers' reports at any node: answered by the holder of their machine, sent on to it, passed on to it where
 // they can't reach it, and where that fails as well their lease is renewed on its behalf.
 
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,6 +42,7 @@
     bool authorised() const;
     std::optional<ApiResponse> answer(Owner& owner, const Report& r) const;
     void unknown_machine(const Report& r, ApiResponder respond);
+    void lease(const Report& r, const ApiResponder& respond);
     void help(const Report& r, const Block& block, const std::string& bytes, ApiResponder respond);
     void relay(const Report& r, std::size_t peer, const std::string& bytes, ApiResponder respond);
     void stand_in(const Report& r, const Block& block, const ApiResponder& respond);
@@ -55,7 +57,8 @@
     Leases& leases_;
     Peers& peers_;
     std::unordered_map<std::string, Visit> visits_;
-    std::vector<bool> asked_;  // by peer: for a promise
+    std::set<std::string> meeting_;  // machines in no block that are being called
+    std::vector<bool> asked_;        // by peer: for a promise
     Micros started_ = 0;
     Micros renounced_ = 0;
 };
--- a/tests/late_messages_test.cpp
+++ b/tests/late_messages_test.cpp
@@ -1,33 +1,16 @@
 // Messages that arrive late, or once more: old reports after newer ones, commands and their answers that are
 // held up, and jobs whose tasks end far apart while those who hear of it change.
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "calm.hpp"
+#include "late.hpp"
 
 namespace cottonway::test {
 
 using namespace lab;
 namespace {
 
-/// A report that is on its way from now on, to arrive whenever the test likes.
-Value on_its_way(World& w, const std::string& machine) {
-    return w.worker(machine)->report(w.now());
-}
-
-void arrives(World& w, int node, const Value& report) {
-    const std::string bytes = wire::encode(report);
-    if (w.node(node)) w.node(node)->handle({"POST", "/v1/report", bytes, false}, [](const auto&) {});
-}
-
-bool leased(World& w, const std::string& machine) {
-    for (int i = 0; i < w.node_count(); ++i)
-        if (w.node(i))
-            for (const auto& [name, owner] : w.node(i)->owners())
-                if (owner && owner->machines().count(machine)) return true;
-    return false;
-}
-
 /// A copy of a direct launch that was carried out.
 void launch_again(World& w, const std::string& machine, std::uint64_t token, std::uint64_t session,
                   const ReportedTask& task) {
@@ -230,6 +213,111 @@
     EXPECT_RULES(*w);
 }
 
+/// Whatever is the next message to a machine, or from it, at one moment after another of a wave of launches,
+/// stops and clears: it arrives a second late, after its sender gave up, or after a lease. Meanwhile the
+/// machine hangs for a while, or the holder ends.
+TEST(LateMessages, WhateverIsHeldUpIsCarriedOutOnce) {
+    for (const bool to_machine : {true, false})
+        for (const bool ends : {false, true})
+            for (const Micros late : {1, 5, 16})
+                for (const Micros when : {0, 900, 1800, 2700}) {
+                    auto w = calm(31, 2);
+                    const std::string machine = w->machine_names().front();
+                    const int holder = w->holder();
+                    w->submit(w->job(1, JobKind::Service, 2), 0);
+                    w->run(3 * kSecond);
+                    w->submit(w->job(2, JobKind::Array, 16, 2), 2 * kSecond);
+                    w->run(when * kMillisecond);
+                    if (to_machine)
+                        w->hold_next(host(holder), machine);
+                    else
+                        w->hold_next(machine, host(holder));
+                    if (when % 1800 == 0) w->cancel("req-000001");
+                    w->run(300 * kMillisecond);
+                    if (ends)
+                        w->crash(holder, 40 * kSecond);
+                    else
+                        w->hang(machine, true);
+                    w->run(late * kSecond * 3 / 4);
+                    w->hang(machine, false);
+                    w->run(late * kSecond / 4);
+                    w->release();
+                    w->run(28 * kSecond);
+                    const auto story = [&] {
+                        return fmt::format("to machine {} ends {} late {} when {}\n", to_machine, ends, late,
+                                           when) +
+                               w->story(120);
+                    };
+                    EXPECT_EQ(w->told("req-000002"), "done") << story();
+                    if (late < 12) {
+                        EXPECT_EQ(w->starts("req-000002"), 16) << story();
+                    }
+                    EXPECT_EQ(w->running("req-000001"), when % 1800 == 0 ? 0 : 2) << story();
+                    EXPECT_RULES(*w);
+                }
+}
+
+/// A share of all commands is carried out 2 to 16 s late and not answered, while work comes and goes and, now
+/// and then, the holder ends.
+TEST(LateMessages, LateCommandsStartNothingTwiceAndEndNothingElse) {
+    for (const double share : {0.5, 1.0})
+        for (const bool ends : {false, true}) {
+            auto w = calm(32, 4);
+            w->late_commands = share;
+            for (int i = 0; i < 10; ++i) {
+                w->submit(w->job(1 + i, i % 3 ? JobKind::Array : JobKind::Service, 3), 4 * kSecond);
+                if (i >= 3 && i % 3 == 0) w->cancel(w->job(1 + i - 3, JobKind::Service, 3).ref);
+                w->run(3 * kSecond);
+                if (ends && i == 5) w->crash(w->holder(), 10 * kSecond);
+            }
+            w->late_commands = 0;
+            w->run(60 * kSecond);
+            for (int i = 0; i < 10; ++i) {
+                const std::string ref = w->job(1 + i, JobKind::Array, 3).ref;
+                EXPECT_EQ(w->told(ref), i % 3 ? "done" : i < 9 ? "cancelled" : "accepted") << w->story(200);
+                EXPECT_EQ(w->running(ref), i == 9 ? 3 : 0) << ref << w->story(200);
+            }
+            EXPECT_RULES(*w);
+        }
+}
+
+/// A launch, or a stop, of a holder that has ended or been deposed since arrives after its successor's first
+/// command.
+TEST(LateMessages, ACommandOfAFormerHolderAfterItsSuccessorsIsRefused) {
+    for (const bool deposed : {false, true})
+        for (const bool stop : {false, true}) {
+            auto w = calm(33, 2);
+            const auto story = [&] {
+                return fmt::format("deposed {} stop {}\n", deposed, stop) + w->story();
+            };
+            const std::string machine = w->machine_names().front();
+            const int former = w->holder();
+            w->kill_machine(w->machine_names().back());
+            if (stop) {
+                w->submit(w->job(1, JobKind::Service, 2), 0);
+                w->run(3 * kSecond);
+            }
+            w->run(10 * kMillisecond);
+            w->hold_next(host(former), machine);
+            if (stop)
+                w->cancel("req-000001");
+            else
+                w->submit(w->job(1, JobKind::Service, 2), 0);
+            w->run(300 * kMillisecond);
+            if (deposed)
+                w->cut_off(former, true);
+            else
+                w->crash(former, 60 * kSecond);
+            w->run(20 * kSecond);
+            ASSERT_NE(w->holder(), former) << story();
+            w->release();
+            w->run(5 * kSecond);
+            EXPECT_EQ(w->running("req-000001"), stop ? 0 : 2) << story();
+            EXPECT_EQ(w->starts("req-000001"), 2) << story();
+            EXPECT_RULES(*w);
+        }
+}
+
 // ---------------------------------------------------------------- tasks that end far apart
 
 /// The tasks of one job end 20 s apart, since there is room for one at a time; around the first end the
