A job that could not begin if the fleet were empty has machines rented for it, whatever the totals say

Cause: rentals went by the total of cores, ordinary and not. Once the machines of a zone were gone and others had taken their place elsewhere, nothing was rented in that zone again, and a job bound to it waited for ever; the same holds for a type.

Change: every 2 s the leader looks for the job that has waited longest, 10 s at least, and that the machines which it may use have no room for even with nothing on them (all tasks at once, or an eighth of an array, within its team's limit), and rents the cheapest that it may use. Guests are left out, as before.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -8,6 +8,7 @@
 #include "core/leases.hpp"
 #include "core/peers.hpp"
 #include "log/log.hpp"
+#include "planning/constraints.hpp"
 
 namespace cottonway {
 
@@ -24,6 +25,17 @@
 constexpr Micros kAverage = 60 * kSecond;
 constexpr double kOrdinaryMargin = 1.1;
 constexpr double kMargin = 1.15;
+constexpr Micros kLeftOutEvery = 2 * kSecond;
+constexpr Micros kLeftOutAfter = 10 * kSecond;
+
+/// Of a job's tasks, on an empty machine.
+int tasks_on(const Resources& size, const Resources& need) {
+    Milli n = kMaxAtOnce * 1000;
+    if (need.cores > 0) n = std::min(n, size.cores / need.cores);
+    if (need.cards > 0) n = std::min(n, size.cards / need.cards);
+    if (need.ram > 0) n = std::min(n, size.ram / need.ram);
+    return static_cast<int>(n);
+}
 }  // namespace
 
 Fleet::Fleet(Host& host, const Settings& settings, Replica& replica, const Holdings& holdings,
@@ -361,37 +373,18 @@
 
 // ---------------------------------------------------------------- renting
 
-void Fleet::rent() {
+std::vector<Fleet::Offer> Fleet::offers(
+    const std::function<bool(const MachineType&, const Shape&)>& suits) const {
     const Micros now = host_.now();
-    if (now - leading_since_ < 3 * kSecond || now < pause_until_ || rentals_.size() >= kMaxRentals) return;
-    // Spot machines are tried first; what they can't cover is what ordinary ones are wanted for.
-    const bool need_ordinary =
-        balance_.ordinary < balance_.wanted_ordinary && now - leading_since_ > 6 * kSecond;
-    if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
     std::map<std::string, int> per_zone;
     for (const auto& [id, block] : replica_.blocks.all())
         per_zone[block.zone] += static_cast<int>(block.machines.size());
     for (const auto& [name, b] : booting_) ++per_zone[b.zone];
-    Milli coming = 0;
-    for (const auto& [name, r] : rentals_)
-        if (const auto* t = replica_.types.find(r.type); t && r.spot != need_ordinary)
-            coming += t->size.cores * r.count;
-
     // The cheapest core first; among equals the zone with the fewest machines.
-    struct Offer {
-        double price;
-        int crowd;
-        Shape shape;
-        Milli cores;
-        bool operator<(const Offer& o) const {
-            return std::tuple(price, crowd) < std::tuple(o.price, o.crowd);
-        }
-    };
     std::vector<Offer> offers;
     for (const auto& t : replica_.types.types())
         for (const auto& zone : t.zones)
             for (const bool spot : {false, true}) {
-                if (spot == need_ordinary) continue;
                 const Shape shape{t.name, zone, spot};
                 if (auto r = refused_until_.find(shape); r != refused_until_.end() && now < r->second)
                     continue;
@@ -399,23 +392,97 @@
                     return Shape{r.second.type, r.second.zone, r.second.spot} == shape;
                 });
                 const double cores = static_cast<double>(t.size.cores) / 1000.0;
-                if (cores <= 0 || asked) continue;
-                offers.push_back(
-                    {(spot ? t.spot_price : t.price) / cores, per_zone[zone], shape, t.size.cores});
+                if (cores <= 0 || asked || !suits(t, shape)) continue;
+                offers.push_back({(spot ? t.spot_price : t.price) / cores, per_zone[zone], shape, t.size});
             }
     std::sort(offers.begin(), offers.end());
+    return offers;
+}
+
+/// The totals say nothing of machines in other zones or of other types than a job asks for. Of the jobs that
+/// could not begin if the fleet were empty, the one that has waited longest: all tasks at once, or an eighth
+/// of an array.
+std::optional<Fleet::LeftOut> Fleet::left_out() const {
+    std::map<Shape, int> there;
+    for (const auto& [id, block] : replica_.blocks.all())
+        for (const auto& m : block.machines) there[{block.type, block.zone, block.spot}] += !m.retired;
+    for (const auto& [name, b] : booting_) ++there[{b.type, b.zone, b.spot}];
+    for (const auto& [name, r] : rentals_) there[{r.type, r.zone, r.spot}] += r.count;
+    std::map<std::string, Milli> limits;  // guests take what is left over
+    for (const auto& t : settings_.teams)
+        if (t.guarantee.cores > 0) limits[t.name] = t.limit.cores;
+    const std::int64_t by = host_.wall_ms() - kLeftOutAfter / kMillisecond;
+    const LiveJob* first = nullptr;
+    LeftOut out;
+    for (const auto& [ref, job] : replica_.jobs.live()) {
+        const bool waits = job.open && !job.cancelled && !job.held && job.done + job.running < job.tasks;
+        const auto limit = limits.find(job.team);
+        if (!waits || job.since_ms > by || limit == limits.end() ||
+            (first && first->since_ms <= job.since_ms))
+            continue;
+        const Value* spec = wire::find(job.record, "d");
+        if (!spec) continue;
+        const auto zone = wire::text(*spec, "mill");
+        const Value* types = wire::find(*spec, "looms");
+        auto may_use = [&](const Shape& shape) {
+            return (!shape.spot || job.spot) && (!zone || *zone == shape.zone) &&
+                   (!types || !types->is_array() ||
+                    std::find(types->begin(), types->end(), Value(shape.type)) != types->end());
+        };
+        const bool array = wire::text(*spec, "weave") == "array";
+        int missing = array ? (job.tasks - job.done + 7) / 8 : job.tasks;
+        if (job.need.cores > 0) missing = std::min<Milli>(missing, limit->second / job.need.cores);
+        for (const auto& [shape, count] : there)
+            if (const auto* t = replica_.types.find(shape.type); t && missing > 0 && may_use(shape))
+                missing -= count * tasks_on(t->size, job.need);
+        if (missing <= 0) continue;
+        auto parsed = wire::parse_job(*spec).spec;
+        if (!parsed) continue;
+        first = &job;
+        out = {std::move(*parsed), missing};
+    }
+    return first ? std::optional(std::move(out)) : std::nullopt;
+}
+
+void Fleet::rent() {
+    const Micros now = host_.now();
+    if (now - leading_since_ < 3 * kSecond || now < pause_until_ || rentals_.size() >= kMaxRentals) return;
+    if (now - looked_for_left_out_ > kLeftOutEvery) {
+        looked_for_left_out_ = now;
+        if (const auto left = left_out()) {
+            const auto found = offers([&](const MachineType& t, const Shape& s) {
+                return planning::may_use(left->job, s.type, s.zone, s.spot) && left->job.need.fits(t.size);
+            });
+            if (!found.empty()) {
+                const Offer& o = found.front();
+                const int each = tasks_on(o.size, left->job.need);
+                spdlog::info("job {}: machines that it may use have no room for it at all", left->job.ref);
+                return order(o.shape, std::clamp((left->tasks + each - 1) / each, 1, kMaxAtOnce));
+            }
+        }
+    }
+    // Spot machines are tried first; what they can't cover is what ordinary ones are wanted for.
+    const bool need_ordinary =
+        balance_.ordinary < balance_.wanted_ordinary && now - leading_since_ > 6 * kSecond;
+    if (!need_ordinary && balance_.total >= balance_.wanted_total) return;
+    Milli coming = 0;
+    for (const auto& [name, r] : rentals_)
+        if (const auto* t = replica_.types.find(r.type); t && r.spot != need_ordinary)
+            coming += t->size.cores * r.count;
+    const auto found =
+        offers([&](const MachineType&, const Shape& shape) { return shape.spot != need_ordinary; });
     Milli short_of = (need_ordinary ? balance_.wanted_ordinary - balance_.ordinary
                                     : balance_.wanted_total - balance_.total) -
                      coming;
-    for (std::size_t i = 0; i < offers.size() && short_of > 0 && rentals_.size() < kMaxRentals; ++i) {
+    for (std::size_t i = 0; i < found.size() && short_of > 0 && rentals_.size() < kMaxRentals; ++i) {
         // The same price in several zones: the zones share it.
-        const auto alike = std::count_if(offers.begin() + static_cast<std::ptrdiff_t>(i), offers.end(),
-                                         [&](const Offer& o) { return o.price == offers[i].price; });
-        const auto missing = static_cast<int>((short_of + offers[i].cores - 1) / offers[i].cores);
+        const auto alike = std::count_if(found.begin() + static_cast<std::ptrdiff_t>(i), found.end(),
+                                         [&](const Offer& o) { return o.price == found[i].price; });
+        const auto missing = static_cast<int>((short_of + found[i].size.cores - 1) / found[i].size.cores);
         const int count =
             std::clamp((missing + static_cast<int>(alike) - 1) / static_cast<int>(alike), 1, kMaxAtOnce);
-        order(offers[i].shape, count);
-        short_of -= offers[i].cores * count;
+        order(found[i].shape, count);
+        short_of -= found[i].size.cores * count;
     }
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -1,9 +1,12 @@
 #pragma once
 // The leader's dealings with the cloud: which machines are there, which to rent and which to return.
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/host.hpp"
@@ -60,6 +63,23 @@
     void list_complete();
     void retire(const std::string& machine, const char* why);
     void rent();
+    /// Room for a job that the machines which it may use don't have, even if nothing were on them.
+    struct LeftOut {
+        JobSpec job;
+        int tasks = 0;  // that more machines are wanted for
+    };
+    std::optional<LeftOut> left_out() const;
+    /// What may be asked for, the cheapest core first.
+    struct Offer {
+        double price;
+        int crowd;
+        Shape shape;
+        Resources size;
+        bool operator<(const Offer& o) const {
+            return std::tuple(price, crowd) < std::tuple(o.price, o.crowd);
+        }
+    };
+    std::vector<Offer> offers(const std::function<bool(const MachineType&, const Shape&)>& suits) const;
     void order(const Shape& shape, int count);
     void send(Rental& rental);
     /// A holder's part of a surplus of cores.
@@ -100,6 +120,7 @@
     std::map<std::string, Micros> first_listed_;
     std::set<std::string> listing_now_;
     Micros reclaimed_at_ = 0;
+    Micros looked_for_left_out_ = 0;
     Micros holding_since_ = 0;
     double peak_ordinary_ = 0;
     double mean_flexible_ = 0;
--- a/tests/zones_lost_test.cpp
+++ b/tests/zones_lost_test.cpp
@@ -201,5 +201,22 @@
     EXPECT_RULES(w);
 }
 
+/// All machines of a zone are lost while the cloud has none to give there, and others take their place
+/// elsewhere. Once it has some again, what is bound to that zone runs.
+TEST(ZonesLost, AZoneIsRentedInAgainForWhatIsBoundToIt) {
+    World w(65);
+    for (int i = 0; i < 6; ++i) w.add_machine("small", "b", true);
+    w.start_nodes();
+    w.run(10 * kSecond);
+    const JobSpec job = bound_job(w, 1, JobKind::Array, Binds::Zone);
+    w.submit(job, 2 * kSecond);
+    w.run(20 * kSecond);
+    EXPECT_EQ(w.starts(job.ref), 0);
+    w.cloud().capacity = 50;
+    w.run(90 * kSecond);
+    EXPECT_EQ(w.told(job.ref), "done") << w.story();
+    EXPECT_RULES(w);
+}
+
 }  // namespace
 }  // namespace cottonway::test
