What of a limit is of no use in one domain is used in another; tests at limits and while work changes hands

Cause: a domain gave away only what of its share of a team's limit was neither used nor waited for. Where work of the team waits in every domain, nobody gave: pieces too small for a task stayed unused in each (a limit of 16 cores over three domains: 15 in use, though tasks of one core waited, for as long as the test looked, 60 s), and so did the share of work that found no room in its own domain, while work elsewhere that had room waited for the limit.

Change: pieces gather where least is lacking for the next task; a domain whose next task all pieces together are too little for gives its own away.

An array that is partly bound still waits where its own domain is full and others have room on machines in use (seen twice in trials with 8 machines in place of 12).

--- a/src/core/barter.cpp
+++ b/src/core/barter.cpp
@@ -1,12 +1,25 @@
 #include "core/barter.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cottonway {
 
 namespace {
 constexpr Micros kAskEvery = 250 * kMillisecond;
 constexpr Micros kTimeout = 800 * kMillisecond;
+
+Resources unused(const peer::TeamLoad& t) {
+    auto left = [](Milli share, Milli used) {
+        return share == kNoLimit ? 0 : std::max<Milli>(share - used, 0);
+    };
+    return {left(t.share.cores, t.used.cores), left(t.share.cards, t.used.cards), 0};
+}
+
+Resources spare(const peer::TeamLoad& t) {
+    const Resources left = unused(t) - t.waiting;
+    return {std::max<Milli>(left.cores, 0), std::max<Milli>(left.cards, 0), 0};
+}
 }  // namespace
 
 Barter::Barter(Host& host, const Replica& replica, const Holdings& holdings, Leases& leases, Sharing& sharing,
@@ -82,41 +95,76 @@
             return leases_.give(*from, want, [](const peer::Granted&) {});
 }
 
+/// What other domains have of a team's limit and don't use.
+Resources Barter::unused_elsewhere(const std::string& domain, const std::string& team) const {
+    Resources sum;
+    for (std::size_t i = 0; i < peers_.count(); ++i)
+        if (const peer::State* state = peers_.fresh(i))
+            for (const auto& d : state->domains)
+                for (const auto& t : d.teams)
+                    if (t.team == team && d.domain != domain) sum += unused(t);
+    for (const auto& [other, o] : holdings_.all())
+        if (o && other != domain && o->active()) sum += o->unused_share(team);
+    return sum;
+}
+
+/// Whether a domain in which work waits for a larger part of a team's limit gives away what it has of that.
+/// What is too little for a task in each of several domains would be used by none. It gathers where least is
+/// lacking, so it goes to and fro nowhere, and not where all of it would be too little.
+bool Barter::yields(const Owner& from, const peer::ShareWant& want) const {
+    const auto lacks = from.short_by(want.team);
+    if (!lacks || (lacks->cores <= 0 && lacks->cards <= 0)) return false;  // what waits here will use it
+    if (!lacks->fits(unused_elsewhere(from.domain(), want.team))) return true;
+    return std::tie(want.amount.cards, want.amount.cores, want.domain) <
+           std::tie(lacks->cards, lacks->cores, from.domain());
+}
+
 void Barter::ask_for_share(const Owner& o, const std::string& team, const Resources& missing) {
+    const auto lacks = o.short_by(team);
+    if (!lacks || ask_for_share(o, team, missing, spare, &Owner::spare_share)) return;
+    if (lacks->cores <= 0 && lacks->cards <= 0) return;
+    if (lacks->fits(unused_elsewhere(o.domain(), team)))
+        ask_for_share(o, team, *lacks, unused, &Owner::unused_share);
+}
+
+/// Of whoever has most by that measure. False if nobody has any.
+bool Barter::ask_for_share(const Owner& o, const std::string& team, const Resources& missing,
+                           Resources (*has)(const peer::TeamLoad&),
+                           Resources (Owner::*ours_has)(const std::string&) const) {
     std::optional<std::size_t> best;
     Owner* local = nullptr;
     Milli most = 0;
-    auto spare = [](const peer::TeamLoad& t) {
-        auto left = [](Milli share, Milli used, Milli waiting) {
-            return share == kNoLimit ? 0 : std::max<Milli>(share - used - waiting, 0);
-        };
-        return left(t.share.cores, t.used.cores, t.waiting.cores) +
-               left(t.share.cards, t.used.cards, t.waiting.cards);
-    };
     for (std::size_t i = 0; i < peers_.count(); ++i) {
         const peer::State* state = peers_.fresh(i);
         if (!state || sharing_with_[i]) continue;
         for (const auto& d : state->domains)
             for (const auto& t : d.teams)
-                if (t.team == team && spare(t) > most) {
-                    most = spare(t);
+                if (const Resources r = has(t); t.team == team && r.cores + r.cards > most) {
+                    most = r.cores + r.cards;
                     best = i;
                 }
     }
     for (const auto& [other, from] : holdings_.all())
         if (from && other != o.domain() && from->active())
-            if (const Resources s = from->spare_share(team); s.cores + s.cards > most) {
+            if (const Resources s = (*from.*ours_has)(team); s.cores + s.cards > most) {
                 most = s.cores + s.cards;
                 local = from.get();
             }
     const peer::ShareWant want{o.domain(), o.mark(), team, missing};
     if (local) {
-        sharing_.give(*local, want, [](const peer::Granted&) {});
+        give(*local, want, [](const peer::Granted&) {});
     } else if (best) {
         sharing_with_[*best] = true;
         peers_.call(*best, peer::pack(want), kTimeout,
                     [this, i = *best](const Reply&) { sharing_with_[i] = false; });
     }
+    return local || best;
+}
+
+void Barter::give(Owner& from, const peer::ShareWant& want, std::function<void(peer::Granted)> done) {
+    Resources of = from.spare_share(want.team);
+    if (of.cores + of.cards <= 0 && yields(from, want)) of = from.unused_share(want.team);
+    sharing_.give(from, want, of, std::move(done));
 }
 
 /// Of ours, the domain with the most idle machines gives.
@@ -138,17 +186,19 @@
 
 void Barter::give_share(const peer::ShareWant& want, std::function<void(peer::Granted)> done) {
     Owner* from = nullptr;
-    Milli most = 0;
+    std::pair<Milli, Milli> most;  // to spare, and what no task can use
     for (const auto& [name, o] : holdings_.all()) {
         if (!o || name == want.domain || !o->active()) continue;
         const Resources spare = o->spare_share(want.team);
-        if (spare.cores + spare.cards > most) {
-            most = spare.cores + spare.cards;
+        const Resources unused = yields(*o, want) ? o->unused_share(want.team) : Resources{};
+        const std::pair has{spare.cores + spare.cards, unused.cores + unused.cards};
+        if (has > most) {
+            most = has;
             from = o.get();
         }
     }
     if (!from) return done({});
-    sharing_.give(*from, want, std::move(done));
+    give(*from, want, std::move(done));
 }
 
 }  // namespace cottonway
--- a/src/core/barter.hpp
+++ b/src/core/barter.hpp
@@ -24,6 +24,12 @@
     void pass_jobs_on(Owner& o);
     void ask_for_machines(Owner& o, const peer::Want& want);
     void ask_for_share(const Owner& o, const std::string& team, const Resources& missing);
+    bool ask_for_share(const Owner& o, const std::string& team, const Resources& missing,
+                       Resources (*has)(const peer::TeamLoad&),
+                       Resources (Owner::*ours_has)(const std::string&) const);
+    Resources unused_elsewhere(const std::string& domain, const std::string& team) const;
+    bool yields(const Owner& from, const peer::ShareWant& want) const;
+    void give(Owner& from, const peer::ShareWant& want, std::function<void(peer::Granted)> done);
 
     Host& host_;
     const Replica& replica_;
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -1,6 +1,7 @@
 // What an owner tells other controllers, and gives them: load, idle machines, waiting jobs, shares.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "core/owner.hpp"
@@ -12,6 +13,16 @@
 
 constexpr Micros kWantAfter = 150 * kMillisecond;  // waiting for room before others are asked
 constexpr Micros kIdleOffer = 500 * kMillisecond;  // idle before it is given to another domain
+constexpr Micros kKeepsShare = 20 * kSecond;       // of a team's limit, by what finds no room
+constexpr Micros kGangKeepsShare = 60 * kSecond;   // room for all of it may have to be gathered
+constexpr Micros kTriesAgain = 10 * kSecond;       // to find room, which it had none of then
+
+/// Whether it has found no room for long. Then it keeps no part of its team's limit: where there is room
+/// others may use that meanwhile. It still looks for room, and asks for its part once there is some.
+bool lacks_room(const Job& job, Micros now) {
+    const Micros patience = job.spec.kind == JobKind::Gang ? kGangKeepsShare : kKeepsShare;
+    return job.no_room_at > 0 && now - job.waiting_since >= patience && now - job.no_room_at <= kTriesAgain;
+}
 
 }  // namespace
 
@@ -35,10 +46,11 @@
         if (job->rank == Rank::Production && job->open)
             d.production += job->spec.need.cores * (job->idle + job->bound);
         if (job->waiting() == 0) continue;
+        d.waiting += job->spec.need.cores * job->idle;
+        if (lacks_room(*job, context_.host().now())) continue;
         auto& w = waiting[job->spec.team];
         w.cores += job->spec.need.cores * job->idle;
         w.cards += job->spec.need.cards * job->idle;
-        d.waiting += job->spec.need.cores * job->idle;
     }
     for (const auto& team : context_.settings().teams) {
         d.teams.push_back(
@@ -55,7 +67,8 @@
     auto turn = [this](const Job& job) { return std::pair(tier(job) != policy::Tier::Live, job.serial); };
     const Job* first = nullptr;
     for (const auto& [ref, job] : ledger_.jobs)
-        if (job->waiting() > 0 && now - job->waiting_since > kWantAfter && planner_.quota_allows(*job, 1) &&
+        if (job->waiting() > 0 && now - job->waiting_since > kWantAfter &&
+            (planner_.quota_allows(*job, 1) || lacks_room(*job, now)) &&
             (!first || turn(*job) < turn(*first)))
             first = job.get();
     if (!first) return std::nullopt;
@@ -157,16 +170,36 @@
 }
 
 Resources Owner::spare_share(const std::string& team) const {
-    const Resources share = context_.share(domain_, team);
-    Resources spare = share - ledger_.used(team);
+    Resources spare = unused_share(team);
     for (const auto& [ref, job] : ledger_.jobs)
-        if (job->spec.team == team) {
+        if (job->spec.team == team && !lacks_room(*job, context_.host().now())) {
             spare.cores -= job->spec.need.cores * job->waiting();
             spare.cards -= job->spec.need.cards * job->waiting();
         }
+    return {std::max<Milli>(spare.cores, 0), std::max<Milli>(spare.cards, 0), 0};
+}
+
+Resources Owner::unused_share(const std::string& team) const {
+    const Resources share = context_.share(domain_, team);
+    const Resources used = ledger_.used(team);
     // What has no limit is not shared out, so there is nothing of it to give.
-    auto part = [](Milli of, Milli left) { return of == kNoLimit ? 0 : std::max<Milli>(left, 0); };
-    return {part(share.cores, spare.cores), part(share.cards, spare.cards), 0};
+    auto part = [](Milli of, Milli in_use) { return of == kNoLimit ? 0 : std::max<Milli>(of - in_use, 0); };
+    return {part(share.cores, used.cores), part(share.cards, used.cards), 0};
+}
+
+std::optional<Resources> Owner::short_by(const std::string& team) const {
+    const Resources unused = unused_share(team);
+    std::optional<Resources> least;
+    for (const auto& [ref, job] : ledger_.jobs) {
+        if (job->spec.team != team || job->stage != Stage::Queued || !job->open || job->held) continue;
+        if (job->idle == 0 || lacks_room(*job, context_.host().now())) continue;
+        const Milli at_once = job->spec.kind == JobKind::Gang ? job->idle : 1;
+        const Resources lacks{std::max<Milli>(job->spec.need.cores * at_once - unused.cores, 0),
+                              std::max<Milli>(job->spec.need.cards * at_once - unused.cards, 0), 0};
+        if (!least || std::tie(lacks.cards, lacks.cores) < std::tie(least->cards, least->cores))
+            least = lacks;
+    }
+    return least;
 }
 
 Value Owner::status() const {
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -131,6 +131,10 @@
     void rehome(const std::string& to, Milli ordinary, Milli spot);
     /// What of the team's share neither is in use nor waited for.
     Resources spare_share(const std::string& team) const;
+    Resources unused_share(const std::string& team) const;
+    /// The least that the team's share lacks for one waiting task more, or for a gang: nothing if one will
+    /// start without, none if nothing waits.
+    std::optional<Resources> short_by(const std::string& team) const;
     /// Machines with tasks that are silent, or don't hear us, for which `peer` has not promised to renew no
     /// leases.
     std::vector<std::string> to_renounce(std::size_t peer) const;
--- a/src/core/sharing.cpp
+++ b/src/core/sharing.cpp
@@ -82,7 +82,8 @@
 
 /// Without an answer the same change is tried until it is clear whether it was made: meanwhile neither side
 /// counts on it.
-void Sharing::give(Owner& from, const peer::ShareWant& want, std::function<void(peer::Granted)> done) {
+void Sharing::give(Owner& from, const peer::ShareWant& want, const Resources& spare,
+                   std::function<void(peer::Granted)> done) {
     const std::string domain = from.domain();
     ShareBook& book = replica_.shares;
     const auto* ours = book.find(domain);
@@ -90,7 +91,6 @@
     if (!from.active() || !ours || !to || to->mark != want.mark || want.domain == domain ||
         book.busy(domain) || book.busy(want.domain))
         return done({});
-    const Resources spare = from.spare_share(want.team);
     auto part = [](Milli left, Milli asked) { return std::min(left, std::max(asked, left / 2)); };
     const Resources grant{part(spare.cores, std::max<Milli>(want.amount.cores, 0)),
                           part(spare.cards, std::max<Milli>(want.amount.cards, 0)), 0};
--- a/src/core/sharing.hpp
+++ b/src/core/sharing.hpp
@@ -25,8 +25,9 @@
     /// The leader creates the first shares, all in one change, and adds to its own domain's what operators
     /// have raised a limit by. Everything else is a transfer, which leaves the sum as it is.
     void first_shares();
-    /// Gives another domain a part of a team's limit that is neither used nor waited for here.
-    void give(Owner& from, const peer::ShareWant& want, std::function<void(peer::Granted)> done);
+    /// Gives another domain a part of what this one can spare of a team's limit.
+    void give(Owner& from, const peer::ShareWant& want, const Resources& spare,
+              std::function<void(peer::Granted)> done);
 
   private:
     Host& host_;
--- a/tests/calm.hpp
+++ b/tests/calm.hpp
@@ -27,4 +27,14 @@
     return w;
 }
 
+/// What the holder's hand-over is, carried out though its answer is lost.
+inline void hand_over(lab::World& w, int from, int to) {
+    const std::string key = "c/domain/" + w.owner_at(from)->domain();
+    w.note(host(from) + " hands over to " + host(to));
+    Value write{{"write", key}, {"data", {{"holder", host(to)}}}};
+    Value change{{"when", Value::array({Value{{"k", key}, {"mark", w.owner_at(from)->mark()}}})},
+                 {"then", Value::array({write})}};
+    ASSERT_EQ(w.state().handle("POST", "/commit", change, w.now()).status, 200);
+}
+
 }  // namespace cottonway::test
--- a/tests/handing_over_test.cpp
+++ b/tests/handing_over_test.cpp
@@ -10,16 +10,6 @@
 using namespace lab;
 namespace {
 
-/// What the holder's hand-over is, carried out though its answer is lost.
-void hand_over(World& w, int from, int to) {
-    const std::string key = "c/domain/" + w.owner_at(from)->domain();
-    w.note(host(from) + " hands over to " + host(to));
-    Value write{{"write", key}, {"data", {{"holder", host(to)}}}};
-    Value change{{"when", Value::array({Value{{"k", key}, {"mark", w.owner_at(from)->mark()}}})},
-                 {"then", Value::array({write})}};
-    ASSERT_EQ(w.state().handle("POST", "/commit", change, w.now()).status, 200);
-}
-
 TEST(HandingOver, WhoeverHeldTheDomainBeforeIsCountedWith) {
     // The record names the node that takes the domain, so it has been taken for its own former process's; but
     // it was given by another, which does not know that yet and goes on answering.
@@ -150,5 +140,193 @@
     EXPECT_RULES(*w);
 }
 
+TEST(HandingOver, OneReturnsAtOnceWhileADomainGoesToAndFro) {
+    for (const Micros back : {100 * kMillisecond, kSecond})
+        for (const Micros gone : {20 * kMillisecond, 400 * kMillisecond})
+            for (int one = 0; one < 3; ++one) {
+                auto w = calm(42, 4);
+                const int giver = w->holder(), taker = (giver + 1) % 3;
+                w->submit(w->job(1, JobKind::Service, 3), 0);
+                w->submit(w->job(2, JobKind::Array, 3), 15 * kSecond);
+                w->submit(w->job(3, JobKind::Gang, 2), 15 * kSecond);
+                w->run(3 * kSecond);
+                hand_over(*w, giver, taker);
+                w->run(gone);
+                if (w->owner_at(taker)) hand_over(*w, taker, giver);
+                w->run(gone / 10);
+                for (int i = 0; i < 3; ++i) w->crash(i, i == one ? back : 40 * kSecond);
+                w->run(30 * kSecond);
+                EXPECT_EQ(w->holder(), one) << w->story();
+                for (int i = 1; i <= 3; ++i)
+                    EXPECT_EQ(w->starts("req-00000" + std::to_string(i)), i == 3 ? 2 : 3) << w->story();
+                EXPECT_EQ(w->told("req-000002"), "done") << w->story();
+                EXPECT_EQ(w->told("req-000003"), "done") << w->story();
+                w->run(20 * kSecond);
+                EXPECT_RULES(*w);
+            }
+}
+
+TEST(HandingOver, AllAreAwayForLongerThanALease) {
+    // Every task ends with its lease, and starts again; what was accepted is known, what was called off stays
+    // so. One may be back long before the others.
+    for (const Micros away : {20 * kSecond, 60 * kSecond})
+        for (const bool apart : {false, true}) {
+            Settings site = small_site();
+            if (away > 30 * kSecond) site.cpu_share = 0.001;
+            auto w = calm(43, 6, site);
+            w->submit(w->job(1, JobKind::Service, 3), 0);
+            w->submit(w->job(2, JobKind::Array, 30), 18 * kSecond);  // more than the limit has room for
+            w->submit(w->job(3, JobKind::Gang, 3), 18 * kSecond);
+            w->submit(w->job(4, JobKind::Array, 2), 100 * kSecond);
+            w->run(3 * kSecond);
+            w->cancel("req-000004");
+            w->run(away % 7);
+            for (int i = 0; i < 3; ++i) w->crash(i, away + (apart ? i * 20 * kSecond : 0));
+            w->run(away);
+            EXPECT_EQ(w->running("req-000001"), 0) << "their leases are over";
+            w->run(8 * kSecond);
+            EXPECT_EQ(w->running("req-000001"), 3) << w->story();
+            w->calm();
+            w->run(75 * kSecond);
+            for (const char* ref : {"req-000002", "req-000003"})
+                EXPECT_EQ(w->told(ref), "done") << w->story();
+            EXPECT_EQ(w->told("req-000004"), "cancelled") << w->story();
+            // Each once more; a launch may meet the end of a session that nobody has renewed yet.
+            EXPECT_GE(w->starts("req-000001"), 6) << w->story();
+            EXPECT_LE(w->starts("req-000001"), 9) << w->story();
+            EXPECT_RULES(*w);
+        }
+}
+
+TEST(HandingOver, LeadersChangeTenTimesInTwoMinutes) {
+    for (const bool same : {true, false})
+        for (const bool outage : {false, true}) {
+            Settings site = small_site();
+            site.cpu_share = 0.001;  // several domains
+            auto w = calm(44, 9, site);
+            w->submit(w->job(1, JobKind::Service, 3), 0);
+            std::set<std::uint64_t> terms;
+            for (int round = 0; round < 10; ++round) {
+                if (outage && round == 4) {
+                    w->state().set_down(true, w->now());
+                    w->at(w->now() + 15 * kSecond, [&w] { w->state().set_down(false, w->now()); });
+                }
+                const int node = same ? 1 : w->leader() >= 0 ? w->leader() : round % 3;
+                w->crash(node, (same ? 500 : 4'000) * kMillisecond);
+                w->submit(w->job(10 + round, JobKind::Array, 2), 8 * kSecond);
+                w->run(round < 9 ? 12 * kSecond : 0);
+                const Reply led = w->state().handle("GET", "/store/c/leader", Value(), w->now());
+                if (led.status == 200) terms.insert(*wire::count(led.body, "mark"));
+            }
+            if (!same && !outage) {
+                EXPECT_GE(terms.size(), 9u) << "and the last is still to come";
+            }
+            Micros waited = 0;
+            while (w->running("req-000019") < 2 && waited < 20 * kSecond) {
+                w->run(100 * kMillisecond);
+                waited += 100 * kMillisecond;
+            }
+            EXPECT_LE(waited, 5 * kSecond) << "until work is placed after the last\n" << w->story();
+            w->run(25 * kSecond);
+            for (int i = 0; i < 3; ++i)
+                EXPECT_TRUE(w->owner_at(i)) << host(i) << " holds no machines\n" << w->story();
+            for (int i = 10; i < 20; ++i)
+                EXPECT_EQ(w->told("req-0000" + std::to_string(i)), "done") << w->story();
+            EXPECT_EQ(w->running("req-000001"), 3);
+            EXPECT_RULES(*w);
+        }
+}
+
+TEST(HeldUp, AStopEndsNoLaterAttemptOfItsTask) {
+    auto w = calm(47, 1);
+    const std::string machine = w->machine_names().front();
+    JobSpec low = w->job(1, JobKind::Array, 1, 8), high = w->job(2, JobKind::Service, 1, 4);
+    low.rank = Rank::Low;
+    high.rank = Rank::Production;
+    w->submit(low, 60 * kSecond);
+    w->run(4 * kSecond);
+    w->hold_next(host(w->holder()), machine);  // the /do with the stop
+    w->submit(high, 0);
+    w->run(8 * kSecond);
+    ASSERT_EQ(w->running(low.ref), 0) << "told again\n" << w->story();
+    w->cancel(high.ref);
+    for (int n = 0; n < 300 && w->running(low.ref) == 0; ++n) w->run(100 * kMillisecond);
+    ASSERT_EQ(w->starts(low.ref), 2) << w->story();
+    w->run(kSecond);
+    w->release();
+    w->run(5 * kSecond);
+    EXPECT_EQ(w->running(low.ref), 1) << w->story();
+    EXPECT_EQ(w->starts(low.ref), 2) << w->story();
+    EXPECT_RULES(*w);
+}
+
+/// A holder that hears neither its machine nor the two others, one of which keeps the machine alive,
+/// `helper`; `next` is the one that the machine turns to after that.
+struct Apart {
+    explicit Apart(std::uint64_t seed, const Settings& site) : w(calm(seed, 2, site)) {
+        w->run(30 * kSecond);  // so long that others may renew leases
+        holder = w->holder(), helper = (holder + 1) % 3, next = (holder + 2) % 3;
+        w->submit(w->job(1, JobKind::Service, 1), 0);
+        w->run(3 * kSecond);
+        machine = *w->machines_of("req-000001").begin();
+        w->cut(host(holder), machine);
+        w->cut(host(holder), host(helper));
+    }
+    /// The helper loses the machine, and tells the holder that it renews nothing.
+    void leave() {
+        w->cut(host(helper), machine);
+        w->run(kSecond);
+        w->heal(host(holder), host(helper));
+    }
+    std::unique_ptr<World> w;
+    int holder, helper, next;
+    std::string machine;
+};
+
+Settings patient() {
+    Settings site = small_site();
+    site.ops.idle_return = 600 * kSecond;
+    site.ops.live_ttl = 6 * kSecond;
+    return site;
+}
+
+TEST(Promises, OfAProcessThatHasEndedCountNoLongerThanItsSuccessorWaits) {
+    Apart a(45, patient());
+    World& w = *a.w;
+    w.run(8 * kSecond);  // `next` has promised by now
+    w.cut(host(a.holder), host(a.next));
+    w.crash(a.next, 200 * kMillisecond);
+    w.run(22 * kSecond);
+    a.leave();
+    w.run(40 * kSecond);
+    EXPECT_EQ(w.starts("req-000001"), 1) << "its machine is kept alive\n" << w.story();
+    w.heal_all();
+    w.run(10 * kSecond);
+    EXPECT_RULES(w);
+}
+
+TEST(Promises, NobodyIsTakenForEndedWhoMayBeBackSince) {
+    Apart a(46, patient());
+    World& w = *a.w;
+    w.cut(host(a.holder), host(a.next));
+    w.run(8 * kSecond);
+    w.refuse(a.next, true);  // its new process has no key until the former one's is gone
+    w.crash(a.next, 300 * kMillisecond);
+    const auto alive = [&] { return w.node(a.holder)->status()["alive"].size(); };
+    for (int n = 0; n < 200 && alive() == 3; ++n) w.run(50 * kMillisecond);
+    ASSERT_EQ(alive(), 2u);
+    w.cut_one_way("state", host(a.holder));  // it keeps its key, and hears no more
+    w.refuse(a.next, false);
+    w.run(17 * kSecond);
+    a.leave();
+    w.run(14 * kSecond);
+    w.heal("state", host(a.holder));
+    w.run(15 * kSecond);
+    EXPECT_EQ(w.starts("req-000001"), 1) << "its machine is kept alive\n" << w.story();
+    w.heal_all();
+    w.run(10 * kSecond);
+    EXPECT_RULES(w);
+}
+
 }  // namespace
 }  // namespace cottonway::test
