--- a/tests/handing_over_test.cpp
+++ b/tests/handing_over_test.cpp
@@ -260,6 +260,21 @@
     EXPECT_RULES(*w);
 }
 
+TEST(HandingOver, AResultIsKeptUntilItIsDurable) {
+    // Of two tasks one began later, so nothing is bound when the first ends, and its result is written later.
+    auto w = calm(48, 1);
+    w->submit(w->job(1, JobKind::Array, 2, 8), 20 * kSecond, 0);
+    w->run(5 * kSecond);
+    w->add_machine("small", "b");
+    while (w->completed_tasks("req-000001") == 0 && w->now() < 60 * kSecond) w->run(50 * kMillisecond);
+    w->run(1500 * kMillisecond);
+    w->crash(w->holder(), 60 * kSecond);
+    w->run(40 * kSecond);
+    EXPECT_EQ(w->told("req-000001"), "done") << w->story();
+    EXPECT_EQ(w->starts("req-000001"), 2) << w->story();
+    EXPECT_RULES(*w);
+}
+
 /// A holder that hears neither its machine nor the two others, one of which keeps the machine alive,
 /// `helper`; `next` is the one that the machine turns to after that.
 struct Apart {
