--- a/tests/calm.hpp
+++ b/tests/calm.hpp
@@ -49,4 +49,14 @@
         EXPECT_TRUE(w.worker(name)) << name << " is gone, " << when << "\n" << w.story();
 }
 
+/// What the holder's hand-over is, carried out though its answer is lost.
+inline void hand_over(lab::World& w, int from, int to) {
+    const std::string key = "c/domain/" + w.owner_at(from)->domain();
+    w.note(host(from) + " hands over to " + host(to));
+    Value write{{"write", key}, {"data", {{"holder", host(to)}}}};
+    Value change{{"when", Value::array({Value{{"k", key}, {"mark", w.owner_at(from)->mark()}}})},
+                 {"then", Value::array({write})}};
+    ASSERT_EQ(w.state().handle("POST", "/commit", change, w.now()).status, 200);
+}
+
 }  // namespace cottonway::test
