Nothing is left waiting where there is room: a rule of acceptance, judged from the outside; later faults in experiments

The operators' rule that no job is left waiting for 90 s once the troubles are over, while a machine that fits has room and its team is under its limit, was judged by nobody. A planted fault (the state service takes no change any more) is seen to break it, the same world without it is not.

Experiments learn late_writes with at_once, late_reports with for_next, mute, cancel_now, cancel_at_end, late_commands, slow_state, close_looks and odd_requests (the last two: flags that the world doesn't act on yet), boots within two seconds, slow links, loads that end, and a state service that refuses what is beyond its rate.

--- a/src/lab/acceptance.cpp
+++ b/src/lab/acceptance.cpp
@@ -56,6 +56,11 @@
         const std::string& name = f.spec.job_class;
         if (f.unanswered > a.unanswered) silent = &f;
         a.unanswered = std::max(a.unanswered, f.unanswered);
+        a.left_waiting = std::max(a.left_waiting, f.left_waiting.longest);
+        if (f.left_waiting.longest > kLeftWaiting)
+            a.broken.push_back(fmt::format("left waiting: {} of {} for {:.1f} s with room at last on {}",
+                                           f.spec.ref, name, seconds(f.left_waiting.longest),
+                                           f.left_waiting.machine));
         const bool large = f.size() >= kLargest * largest_size[name];
         // What waits for other jobs is due from when these are done, which is not known here.
         if (!f.spec.needs.empty()) continue;
@@ -86,6 +91,7 @@
 
 void Acceptance::add(const Acceptance& other, const std::string& run) {
     unanswered = std::max(unanswered, other.unanswered);
+    left_waiting = std::max(left_waiting, other.left_waiting);
     auto sum = [](auto& into, const auto& from) {
         for (const auto& [name, s] : from) into[name].due += s.due, into[name].served += s.served;
     };
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -15,7 +15,8 @@
 using settings::one_of;
 using settings::Table;
 
-void load_settings(Table& t, Settings& s) {
+void load_settings(Table& t, Experiment& e) {
+    Settings& s = e.settings;
     s.zones = t.texts("zones", {"a", "b"});
     s.cpu_share = t.number("cpu_share", 1, 0.001, 1000);
     s.ops.history_apart = t.number("history_apart", 1, 0, 1) > 0;
@@ -24,6 +25,7 @@
         s.state_write_rps = s.next_write_rps = x.number("write_rps", 200, 1, 1e6);
         s.value_bytes = s.value_bytes_now = static_cast<std::size_t>(x.number("value_kb", 16, 1, 64) * 1024);
         s.txn_ops = static_cast<std::size_t>(x.count("txn_ops", 16, 1000));
+        e.writes_bounded = x.flag("bounded");
     });
     t.table("workers", [&](Table& x) {
         s.report_every = x.seconds("report_s", 5);
@@ -69,6 +71,7 @@
     if (const Micros due = x.seconds("deadline_s", 0); due > 0) j.deadline = due;
     l.lasts = x.seconds("lasts_s", 0);
     l.per_minute = x.number("per_minute", 0, 0, 1e6);
+    l.until = x.seconds("until_s", 0);
     l.initial = x.count("initial", 0);
     l.tasks_low = std::max(x.count("tasks", 1, 100'000), 1);
     l.tasks_high = std::max(x.count("tasks_max", l.tasks_low, 100'000), l.tasks_low);
@@ -84,10 +87,13 @@
     e.loads.push_back(std::move(l));
 }
 
-const std::set<std::string> kKinds{"end",       "end_all",   "state_down", "cut_state",   "cut_workers",
-                                   "freeze",    "hang",      "kill",       "refuse",      "repeat",
-                                   "cut_peers", "zone_lost", "zone_back",  "late_writes", "late_reports",
-                                   "deaf",      "cut_off"};
+const std::set<std::string> kKinds{
+    "end",        "end_all",       "state_down",   "cut_state",    "cut_workers",   "freeze",
+    "hang",       "kill",          "refuse",       "repeat",       "cut_peers",     "zone_lost",
+    "zone_back",  "late_writes",   "late_reports", "deaf",         "cut_off",       "mute",
+    "cancel_now", "cancel_at_end", "close_looks",  "odd_requests", "late_commands", "slow_state"};
+/// Those that hit machines by count, part or zone.
+const std::set<std::string> kOfMachines{"deaf", "mute"};
 
 Fault load_fault(Table& x, const Experiment& e) {
     using Who = Fault::Who;
@@ -118,17 +124,25 @@
         f.late = x.seconds("late_s", 8);
         f.commands = x.flag("commands");
     } else if (f.kind == "late_writes") {
-        f.late = World::kLatestWrite;
+        f.at_once = x.flag("at_once");
+        f.late = f.at_once ? 0 : World::kLatestWrite;
     } else if (f.kind == "late_reports") {
-        f.late = World::latest_report(e.settings.lease);
-    } else if (f.kind == "deaf") {
+        f.for_next = x.flag("for_next");
+        f.late = f.for_next ? 0 : World::latest_report(e.settings.lease);
+    } else if (f.kind == "late_commands") {
+        f.late = World::kLatestCommand;
+    } else if (f.kind == "slow_state") {
+        f.late = x.seconds("late_s", 0.5);
+    } else if (f.kind == "cancel_now") {
+        f.span = x.seconds("hang_s", 0);
+    } else if (kOfMachines.count(f.kind)) {
         if (counted && parted) fail(x.path("part"), "either part or count");
         if (!somewhere) f.zone.clear();
         if (!counted && (parted || somewhere)) f.count = 20'000;
         f.part = x.number("part", 1, 0, 1);
         return f;
     }
-    if (f.late > 0) f.part = x.number("part", 0.05, 0, 1);
+    f.part = x.number("part", f.kind == "cancel_at_end" ? 1 : 0.05, 0, 1);
     return f;
 }
 
@@ -144,6 +158,7 @@
 
 std::vector<Micros> Load::arrivals(Micros end, std::mt19937_64& random) const {
     std::vector<Micros> out;
+    if (until > 0) end = std::min(end, until);
     std::exponential_distribution<double> gap(std::max(per_minute, 1e-9) / 60e6);
     for (double t = 3e6;;) {
         const auto at = static_cast<Micros>(t);
@@ -176,10 +191,12 @@
     e.history = t.count("history", 0);
     e.capacity = t.count("capacity", 0);
     e.poll_pause = t.seconds("poll_s", 1);
+    e.slow_links = t.seconds("slow_links_s", 0);
+    e.swift_boots = t.number("swift_boots", 0, 0, 1);
     e.acceptance = t.flag("acceptance", true);
     const std::string policy_file = t.text("policy", "");
     if (e.controllers < 1) fail("controllers", "must be at least 1");
-    load_settings(t, e.settings);
+    load_settings(t, e);
     if (e.settings.teams.empty()) fail("team", "at least one is needed");
     t.rows("type", [&](Table& x) {
         MachineType m;
@@ -255,6 +272,7 @@
     for (const auto& [name, t] : a.largest_wait) waits[name] = t / kMillisecond;
     return {{"broken", a.broken},
             {"unanswered_ms", a.unanswered / kMillisecond},
+            {"left_waiting_ms", a.left_waiting / kMillisecond},
             {"served_by_class", shares_value(a.classes)},
             {"served_by_team", shares_value(a.teams)},
             {"served_of_largest", shares_value(a.largest)},
@@ -313,6 +331,8 @@
     for (const auto& [purpose, n] : changes) line("changes: " + purpose, std::to_string(n));
     line("longest unanswered after troubles",
          fmt::format("{:.1f} s", static_cast<double>(acceptance.unanswered) / 1e6));
+    line("longest left waiting with room",
+         fmt::format("{:.1f} s", static_cast<double>(acceptance.left_waiting) / 1e6));
     auto shares = [&](const std::string& what, const std::map<std::string, Share>& all) {
         for (const auto& [name, s] : all)
             line(fmt::format("served of {} {}", what, name),
@@ -348,6 +368,7 @@
     for (const auto& [purpose, n] : changes) count("changes " + purpose, n);
     count("not acceptable", acceptance.broken.size());
     count("unanswered ms", static_cast<std::size_t>(acceptance.unanswered / kMillisecond));
+    count("left waiting ms", static_cast<std::size_t>(acceptance.left_waiting / kMillisecond));
     auto shares = [&](const std::string& what, const std::map<std::string, Share>& all) {
         for (const auto& [name, s] : all) {
             count("due of " + what + name, static_cast<std::size_t>(s.due));
@@ -426,11 +447,11 @@
 /// The machines that it hits.
 std::vector<std::string> machines_of(World& w, const Fault& f) {
     auto names = w.machine_names();
-    if (f.kind == "deaf")
+    if (kOfMachines.count(f.kind))
         std::erase_if(names, [&](const auto& m) { return !f.zone.empty() && w.worker(m)->zone() != f.zone; });
     std::shuffle(names.begin(), names.end(), w.random);
     auto most = static_cast<std::size_t>(f.count);
-    if (f.kind == "deaf")
+    if (kOfMachines.count(f.kind))
         most =
             std::min(most, static_cast<std::size_t>(std::ceil(f.part * static_cast<double>(names.size()))));
     names.resize(std::min(names.size(), most));
@@ -441,6 +462,10 @@
     const std::vector<int> nodes = nodes_of(w, f);
     const std::vector<std::string> names = machines_of(w, f);
     auto host = [](int i) { return "loom-" + std::to_string(i); };
+    auto set = [&](auto& what, auto to) {
+        what = to;
+        w.at(w.now() + f.span, [&what] { what = {}; });
+    };
     if (f.kind == "end" || f.kind == "end_all") {
         w.remember_running();
         Micros back = f.span;
@@ -493,16 +518,25 @@
                     w.at(w.now() + f.span, [&w, a = host(i), b = host(j)] { w.heal(a, b); });
                 }
     } else if (f.kind == "repeat") {
-        w.repeats = f.part;
+        set(w.repeats, f.part);
         w.repeat_commands = f.commands;
         w.repeat_late = std::max(f.late, kMillisecond);
-        w.at(w.now() + f.span, [&w] { w.repeats = 0; });
     } else if (f.kind == "late_writes") {
-        w.late_writes = f.part;
-        w.at(w.now() + f.span, [&w] { w.late_writes = 0; });
+        set(f.at_once ? w.unanswered_writes : w.late_writes, f.part);
     } else if (f.kind == "late_reports") {
-        w.late_reports = f.part;
-        w.at(w.now() + f.span, [&w] { w.late_reports = 0; });
+        set(f.for_next ? w.reports_for_next : w.late_reports, f.part);
+    } else if (f.kind == "late_commands") {
+        set(w.late_commands, f.part);
+    } else if (f.kind == "slow_state") {
+        set(w.slow_state, f.late);
+    } else if (f.kind == "cancel_now") {
+        w.cancel_now(f.count, f.span);
+    } else if (f.kind == "cancel_at_end") {
+        set(w.cancel_at_end, f.part);
+    } else if (f.kind == "close_looks") {
+        set(w.close_looks, true);
+    } else if (f.kind == "odd_requests") {
+        set(w.odd_requests, true);
     } else if (f.kind == "cut_off") {
         for (int i : nodes) {
             w.cut_off(i, true);
@@ -513,6 +547,11 @@
             w.deafen(m, true);
             w.at(w.now() + f.span, [&w, m] { w.deafen(m, false); });
         }
+    } else if (f.kind == "mute") {
+        for (const auto& m : names) {
+            w.mute(m, true);
+            w.at(w.now() + f.span, [&w, m] { w.mute(m, false); });
+        }
     } else if (f.kind == "zone_lost") {
         w.lose_zone(f.zone, f.ends);
         if (f.span > 0) w.at(w.now() + f.span, [&w, zone = f.zone] { w.zone_back(zone); });
@@ -537,7 +576,10 @@
         for (int i = 0; i < m.count; ++i) w.add_machine(m.type, m.zone, m.spot);
     w.cloud().capacity = e.capacity;
     w.poll_pause = e.poll_pause;
+    w.swift_boots = e.swift_boots;
+    w.slow_links = e.slow_links;
     w.start_nodes(e.controllers);
+    if (e.writes_bounded) w.state().limits.write_rps = e.settings.state_write_rps;
     Watcher watcher(w, into);
     std::mt19937_64 random(seed * 7919 + 1);
     int number = 1;
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -20,6 +20,7 @@
     Micros fetch = 0;
     Micros lasts = 0;  // on average until its user cancels it; 0: never
     double per_minute = 0;
+    Micros until = 0;  // no more come, 0: to the end
     int initial = 0;
     int images = 5;                     // that its jobs take turns with
     int tasks_low = 1, tasks_high = 1;  // evenly, or
@@ -48,6 +49,8 @@
     double part = 0;        // of messages that are repeated or late, or of machines
     Micros late = 0;        // how much later than its end the last of these messages may arrive
     bool commands = false;  // those that were carried out as well
+    bool at_once = false;   // transactions are carried out, and only their answers lost
+    bool for_next = false;  // copies of reports are kept for the next leader
 
     /// When the last of it is over.
     Micros over(int nodes) const;
@@ -69,7 +72,10 @@
     int history = 0;   // jobs that were finished before
     int capacity = 0;  // machines that the cloud still has to give
     Micros poll_pause = kSecond;
-    bool acceptance = true;  // whether the rules of acceptance count
+    Micros slow_links = 0;        // messages take up to so much longer
+    double swift_boots = 0;       // part of the machines that are up within two seconds
+    bool writes_bounded = false;  // the state service refuses what is beyond its rate
+    bool acceptance = true;       // whether the rules of acceptance count
     Settings settings;
     std::vector<MachineType> types;
     std::vector<Machines> machines;
--- /dev/null
+++ b/src/lab/waiting.cpp
@@ -0,0 +1,88 @@
+#include "lab/waiting.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "planning/constraints.hpp"
+
+namespace cottonway::lab {
+
+namespace {
+
+Resources least(const Resources& a, const Resources& b) {
+    return {std::min(a.cores, b.cores), std::min(a.cards, b.cards), std::min(a.ram, b.ram)};
+}
+
+/// How many tasks have room.
+int fitting(const Resources& need, Resources free, int most) {
+    int n = 0;
+    for (; n < most && need.fits(free); ++n) free -= need;
+    return n;
+}
+
+}  // namespace
+
+std::string could_start_on(const WaitingJob& job, const Rooms& rooms, const Resources& left) {
+    const JobSpec& s = job.spec;
+    const bool gang = s.kind == JobKind::Gang;
+    const int wanted = gang ? job.tasks : 1;
+    if (s.need.cores * wanted > left.cores || s.need.cards * wanted > left.cards) return "";
+    struct Zone {
+        int fit = 0;
+        std::string machine;
+    };
+    std::map<std::string, Zone> zones;
+    for (const auto& [name, room] : rooms) {
+        if (!planning::may_use(s, room.type, room.zone, room.spot)) continue;
+        if (s.one_zone && !job.zones.empty() && !job.zones.count(room.zone)) continue;
+        int most = wanted;
+        if (auto there = job.zones.find(room.zone); s.spread)
+            most = std::min(most, (s.tasks + 1) / 2 - (there == job.zones.end() ? 0 : there->second));
+        Zone& zone = zones[room.zone];
+        const int fit = fitting(s.need, room.free, most - zone.fit);
+        if (fit > 0 && zone.machine.empty()) zone.machine = name;
+        zone.fit += std::max(fit, 0);
+    }
+    int all = 0;
+    for (const auto& [name, zone] : zones) {
+        all = s.one_zone ? std::max(all, zone.fit) : all + zone.fit;
+        if (all >= wanted) return zone.machine;
+    }
+    return "";
+}
+
+void LeftWaiting::look(Micros now, Sight sight) {
+    const auto jobs = std::exchange(sight.jobs, {});
+    sights_.emplace_back(now, std::move(sight));
+    while (sights_.size() > 1 && sights_[1].first <= now - kSettled) sights_.pop_front();
+    const bool lasted = sights_.front().first <= now - kSettled;
+    Sight settled = sights_.front().second;
+    for (const auto& [at, seen] : sights_) {
+        std::erase_if(settled.rooms, [&seen = seen](const auto& m) { return !seen.rooms.count(m.first); });
+        for (auto& [name, room] : settled.rooms) room.free = least(room.free, seen.rooms.at(name).free);
+        for (auto& [team, left] : settled.left) left = least(left, seen.left.at(team));
+    }
+    for (const auto& [ref, job] : jobs) {
+        auto [it, added] = jobs_.try_emplace(ref);
+        Kept& k = it->second;
+        if (added || k.waits_since < 0 || k.starts != job.starts)
+            k.waits_since = now, k.could_since = -1, k.starts = job.starts;
+        const std::string where =
+            lasted ? could_start_on(job, settled.rooms, settled.left[job.spec.team]) : "";
+        if (where.empty()) {
+            k.could_since = -1;
+            continue;
+        }
+        if (k.could_since < 0) k.could_since = std::max(now - kSettled, k.waits_since);
+        if (now - k.could_since > k.wait.longest) k.wait = {now - k.could_since, where};
+    }
+    for (auto& [ref, k] : jobs_)
+        if (!jobs.count(ref)) k.waits_since = k.could_since = -1;
+}
+
+LeftWaiting::Wait LeftWaiting::of(const std::string& ref) const {
+    auto it = jobs_.find(ref);
+    return it == jobs_.end() ? Wait{} : it->second.wait;
+}
+
+}  // namespace cottonway::lab
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -239,7 +239,7 @@
 }
 
 Micros World::delay() {
-    return 500 + static_cast<Micros>(random() % 4500);
+    return 500 + static_cast<Micros>(random() % 4500) + (slow_links > 0 ? between(0, slow_links) : 0);
 }
 
 void World::send(const std::string& from, const std::string& to, std::function<void()> deliver) {
@@ -799,6 +799,51 @@
     return calm_since_ < 0 ? 0 : now_ - std::max({calm_since_, u.answered, u.accepted_at});
 }
 
+void World::calm() {
+    if (calm_since_ < 0) at(now_, [this] { watch_waiting(); });
+    calm_since_ = now_;
+}
+
+Sight World::sight() {
+    Sight s;
+    for (const auto& t : settings.teams) s.left[t.name] = t.limit;
+    std::map<std::pair<std::string, int>, std::string> held;  // tasks on machines, by their zones
+    for (const auto& [name, r] : workers_) {
+        if (!r.worker) continue;
+        Room room{r.worker->type().name, r.worker->zone(), r.worker->spot(), r.worker->type().size};
+        for (const auto& [ref, task] : r.worker->held()) {
+            const JobSpec& spec = users_.at(ref).info.spec;
+            room.free -= spec.need;
+            s.left[spec.team] -= spec.need;
+            held[{ref, task}] = room.zone;
+        }
+        bool reached = !r.hung && !r.deaf && !r.mute && !r.worker->faulty && !r.worker->notice;
+        for (int i = 0; reached && !(cuts_.empty() && one_way_.empty()) && i < node_count(); ++i)
+            reached = !is_cut(name, "loom-" + std::to_string(i));
+        if (reached) s.rooms[name] = std::move(room);
+    }
+    for (const auto& [ref, u] : users_) {
+        const JobSpec& spec = u.info.spec;
+        if (u.told != "accepted" || u.finished >= 0 || u.info.broken || cancel_wanted(ref)) continue;
+        if (std::any_of(spec.needs.begin(), spec.needs.end(),
+                        [this](const auto& need) { return users_.at(need).finished < 0; }))
+            continue;
+        WaitingJob job{spec, spec.tasks - static_cast<int>(u.done.size()), {}, u.starts};
+        for (auto it = held.lower_bound({ref, 0}); it != held.end() && it->first.first == ref; ++it) {
+            ++job.zones[it->second];
+            job.tasks -= !u.done.count(it->first.second);
+        }
+        const bool waits = spec.kind == JobKind::Gang ? job.zones.empty() : job.tasks > 0;
+        if (waits) s.jobs[ref] = std::move(job);
+    }
+    return s;
+}
+
+void World::watch_waiting() {
+    at(now_ + kSecond, [this] { watch_waiting(); });
+    left_waiting_.look(now_, sight());
+}
+
 std::vector<Fate> World::fates() const {
     std::vector<Fate> out;
     for (const auto& [ref, u] : users_) {
@@ -806,7 +851,7 @@
         const bool left_out = u.info.broken || u.told == "cancelled" || cancel_wanted(ref);
         const Micros fetch = std::max<Micros>(u.info.fetch, 0);
         out.push_back({u.info.spec, u.info.run + fetch, u.accepted_at, u.begun, u.all_begun, u.finished,
-                       left_out, std::max(u.unanswered, unanswered(u))});
+                       left_out, std::max(u.unanswered, unanswered(u)), left_waiting_.of(ref)});
     }
     return out;
 }
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -75,6 +75,7 @@
     void mute(const std::string& machine, bool on);
     /// Part of the machines that are rented from now on and up within two seconds.
     double swift_boots = 0;
+    Micros slow_links = 0;  // messages between all hosts take up to so much longer
     double loss = 0;
     double answers_lost = 0;  // of the state service
     /// Part of all reports, commands, changes, rental and users' requests that arrive once more, up to
@@ -121,8 +122,9 @@
     void submit(const JobSpec& spec, Micros run, Micros fetch = 200 * kMillisecond, bool mistaken = false);
     int poll_rate = 1;            // how many times as often as usual users poll
     Micros poll_pause = kSecond;  // at least, thrice as much at most
-    /// All troubles are over: from now on accepted jobs are due an answered poll.
-    void calm() { calm_since_ = now_; }
+    /// All troubles are over: from now on accepted jobs are due an answered poll and, where there is room, a
+    /// start.
+    void calm();
     /// Of all accepted jobs.
     std::vector<Fate> fates() const;
     /// Requests of a node to the state service so far.
@@ -145,6 +147,13 @@
     std::vector<std::string> cancel_now(int count, Micros hang);
     /// Part of the jobs that end which their users call off at that moment.
     double cancel_at_end = 0;
+    /// Right after a job was accepted, ended or confirmed as cancelled, its user asks at all nodes, again and
+    /// again within milliseconds, and repeats the submission, and a cancellation that it wanted; a tenth of
+    /// the users cancel at once.
+    bool close_looks = false;
+    /// Users repeat submissions of unfinished jobs, also with another body, cancel jobs that are done, ask
+    /// about jobs that nobody submitted, and send jobs that fit no machine or lack a field.
+    bool odd_requests = false;
     ApiResponse ask(int node, const std::string& method, const std::string& path, const Value& body);
     ApiResponse ask_raw(int node, const std::string& method, const std::string& path,
                         const std::string& body);
@@ -238,6 +247,9 @@
     void heal(const std::vector<std::pair<std::string, std::string>>& links);
     Micros unanswered(const User& u) const;
     void tick();
+    /// What there is, for LeftWaiting.
+    Sight sight();
+    void watch_waiting();
     void report(const std::string& machine);
     void start_node(int i);
     void boot_machines();
@@ -284,6 +296,7 @@
     std::set<std::pair<std::string, int>> running_before_;
     std::size_t started_again_ = 0;
     Micros calm_since_ = -1;
+    LeftWaiting left_waiting_;
     std::map<std::string, LostZone> lost_zones_;
 };
 
--- a/src/standin/standins.cpp
+++ b/src/standin/standins.cpp
@@ -393,6 +393,13 @@
     return {200, report(now)};
 }
 
+std::vector<std::pair<std::string, int>> Worker::held() const {
+    std::vector<std::pair<std::string, int>> out;
+    for (const auto& t : tasks_)
+        if (t.phase != Phase::Exited) out.emplace_back(t.job, t.task);
+    return out;
+}
+
 // ---------------------------------------------------------------- cloud
 
 const MachineType* Cloud::type(const std::string& name) const {
--- a/src/standin/standins.hpp
+++ b/src/standin/standins.hpp
@@ -110,6 +110,8 @@
     /// Ends the session if its lease is over; a machine that hangs does no more than that.
     void expire(Micros now);
     void kill_all();
+    /// Tasks that take room here: all that have not exited.
+    std::vector<std::pair<std::string, int>> held() const;
 
     std::uint64_t session() const { return session_; }
     std::uint64_t token() const { return token_; }
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -122,6 +122,74 @@
     EXPECT_LT(a.unanswered, kAnsweredWithin);
 }
 
+TEST(Acceptance, WhatCouldStartIsJudgedByAllThatTheJobAsksFor) {
+    const Rooms rooms{{"n-1", {"small", "a", false, {2'000, 0, 8'000}}},
+                      {"n-2", {"small", "b", true, {4'000, 0, 8'000}}},
+                      {"n-3", {"cards", "b", false, {1'000, 2'000, 8'000}}}};
+    const Resources plenty{kNoLimit, kNoLimit, 0};
+    struct Case {
+        const char* what;
+        std::function<void(WaitingJob&)> ask;
+        const char* on;
+        Resources left;
+    };
+    const std::vector<Case> cases{
+        {"any", [](auto&) {}, "n-1", plenty},
+        {"its limit", [](auto&) {}, "", {1'999, kNoLimit, 0}},
+        {"no card left of its limit", [](auto& j) { j.spec.need.cards = 500; }, "", {9'000, 0, 0}},
+        {"wide", [](auto& j) { j.spec.need.cores = 3'000; }, "", plenty},
+        {"wide, on spot", [](auto& j) { j.spec.need.cores = 3'000, j.spec.spot = true; }, "n-2", plenty},
+        {"RAM", [](auto& j) { j.spec.need.ram = 8'001; }, "", plenty},
+        {"cards",
+         [](auto& j) {
+             j.spec.need = {1'000, 1'000, 0};
+         },
+         "n-3", plenty},
+        {"its types", [](auto& j) { j.spec.types = {{"cards"}}; }, "", plenty},
+        {"its zone", [](auto& j) { j.spec.zone = "b"; }, "", plenty},
+        {"one_zone", [](auto& j) { j.spec.one_zone = true, j.zones["b"] = 1; }, "", plenty},
+        {"spread", [](auto& j) { j.spec.spread = true, j.zones["a"] = 2; }, "", plenty},
+        {"spread, less", [](auto& j) { j.spec.spread = true, j.zones["a"] = 1; }, "n-1", plenty},
+        {"gang", [](auto& j) { j.spec.kind = JobKind::Gang; }, "", plenty},
+        {"gang, on spot", [](auto& j) { j.spec.kind = JobKind::Gang, j.spec.spot = true; }, "n-2", plenty},
+        {"gang in one zone",
+         [](auto& j) { j.spec.kind = JobKind::Gang, j.spec.spot = j.spec.one_zone = true; }, "", plenty},
+        {"gang, its limit",
+         [](auto& j) { j.spec.kind = JobKind::Gang, j.spec.spot = true; },
+         "",
+         {5'000, kNoLimit, 0}}};
+    for (const auto& c : cases) {
+        WaitingJob job;
+        job.spec.tasks = job.tasks = 3;
+        job.spec.need = {2'000, 0, 1'000};
+        c.ask(job);
+        EXPECT_EQ(could_start_on(job, rooms, c.left), c.on) << c.what;
+    }
+}
+
+/// Planted: the state service takes no change any more, so nobody binds what waits, and room comes about.
+TEST(Acceptance, AJobIsLeftWaitingWhereItsHolderIsKeptFromBinding) {
+    for (const bool planted : {false, true}) {
+        World w(5);
+        start(w);
+        w.run(5 * kSecond);
+        w.submit(w.job(1, JobKind::Array, 24), 20 * kSecond);  // all there is
+        w.run(5 * kSecond);
+        JobSpec waits = w.job(2, JobKind::Array, 1);
+        waits.team = "blue";
+        w.submit(waits, 5 * kSecond);
+        w.run(2 * kSecond);
+        ASSERT_EQ(w.told(waits.ref), "accepted");
+        ASSERT_EQ(w.running(waits.ref), 0);
+        if (planted) w.state().limits.txn_ops = 0;
+        w.calm();
+        w.run(115 * kSecond);
+        const Acceptance a = judge(w.fates(), w.settings.teams, w.now());
+        EXPECT_EQ(has(a, "left waiting: " + waits.ref), planted) << a.left_waiting << w.story();
+        EXPECT_EQ(w.told(waits.ref), planted ? "accepted" : "done");
+    }
+}
+
 /// Idle work leaves room for what waits, but not for what its team's limit keeps from starting.
 TEST(Acceptance, WhatALimitKeepsWaitingTakesNoRoomFromIdleWork) {
     World w(6);
--- a/tests/experiment_test.cpp
+++ b/tests/experiment_test.cpp
@@ -35,6 +35,10 @@
     EXPECT_EQ(with_fault("kind = \"cut_off\"").calm(), 15 * kSecond);
     EXPECT_EQ(with_fault("kind = \"late_writes\"\npart = 0.2").calm(), 27 * kSecond);
     EXPECT_EQ(with_fault("kind = \"late_reports\"").calm(), 65 * kSecond);  // two and a half leases
+    EXPECT_EQ(with_fault("kind = \"late_writes\"\nat_once = true").calm(), 15 * kSecond);
+    EXPECT_EQ(with_fault("kind = \"late_reports\"\nfor_next = true").calm(), 15 * kSecond);
+    EXPECT_EQ(with_fault("kind = \"late_commands\"").calm(), 31 * kSecond);
+    EXPECT_EQ(with_fault("kind = \"cancel_now\"\ncount = 2\nhang_s = 7").calm(), 17 * kSecond);
     EXPECT_EQ(with_fault("kind = \"deaf\"\ntimes = 3\nevery_s = 4").calm(), 23 * kSecond);
 }
 
@@ -56,6 +60,12 @@
     for (const char* fault :
          {"kind = \"late_writes\"\npart = 0.2", "kind = \"late_reports\"\npart = 0.3",
           "kind = \"deaf\"\npart = 0.5", "kind = \"deaf\"\nzone = \"b\"",
+          "kind = \"late_writes\"\nat_once = true\npart = 0.3",
+          "kind = \"late_reports\"\nfor_next = true\npart = 0.3\n"
+          "[[fault]]\nat_s = 14\nkind = \"end\"\nnode = \"leader\"\nfor_s = 1",
+          "kind = \"mute\"\nzone = \"b\"", "kind = \"cancel_now\"\ncount = 5\nhang_s = 4",
+          "kind = \"cancel_at_end\"\npart = 0.5", "kind = \"close_looks\"", "kind = \"odd_requests\"",
+          "kind = \"late_commands\"\npart = 0.3", "kind = \"slow_state\"\nlate_s = 0.3",
           "kind = \"cut_off\"\nnode = \"leader\"", "kind = \"refuse\"\nnode = \"busiest\""}) {
         Results results;
         play(with_fault(fault), 1, results);
