What finds no room elsewhere starts on machines that are being emptied; many small jobs, and more work than room

Cause: a machine of which there are too many over all domains is emptied, i.e. no candidate, neither for placing nor for stopping batch on it, whatever waits in the domain that holds it. In a world of 72 machines with one-task jobs of 8 s, four and six a second, half of the machines stood idle while jobs waited ("no machine that it may use has room": 4 of 14 usable).

Change: such a machine takes what finds no room elsewhere: urgent work at once, batch after 5 s, what is left over never; for urgent work batch is stopped there as well (Planner::takes_surplus).

Conclusion: the room that was lost was there all along; idle work under overload is open.

--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -93,10 +93,10 @@
     });
 }
 
-bool Owner::usable(const Machine& m) const {
+bool Owner::bindable(const Machine& m) const {
     const Micros now = context_.host().now();
     return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.retired && !m.retiring && !m.leaving &&
-           !m.draining && !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() &&
+           !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() &&
            silent_for(m) < context_.settings().report_every * 5 / 2 + kSecond;
 }
 
--- a/src/core/owner.hpp
+++ b/src/core/owner.hpp
@@ -150,7 +150,9 @@
 
     std::uint64_t token(const Machine& m) const { return std::max<std::uint64_t>(mark_, m.token); }
     // Planner::Domain.
-    bool usable(const Machine& m) const override;
+    bool usable(const Machine& m) const override { return !m.draining && bindable(m); }
+    bool surplus(const Machine& m) const override { return m.draining && bindable(m); }
+    bool bindable(const Machine& m) const;
     void bound(Job& job, int task) override;
     void stop(Slot& slot, Micros grace) override;
     Resources kept_from(const Job& job, const Machine& m) const override { return mover_.kept_from(job, m); }
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -28,6 +28,7 @@
 // Starts a second of idle work, per core that the process may use: with all that follows from one (a bind, a
 // launch, reports, a result) that is a fifth of its time.
 constexpr double kIdleStarts = 600;
+constexpr Micros kSurplusAfter = 5 * kSecond;  // machines that are being emptied are left alone until then
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
 constexpr int kPreemptions = 20;          // in one pass
 constexpr std::size_t kBindingRoom = 20;  // bytes a task that a part has room for
@@ -118,14 +119,17 @@
 /// What a pass has found to need more room than any machine has, nothing that needs as much will find either.
 bool Planner::hopeless(const Job& job) const {
     if (of_.keeps_for(job)) return false;  // others may have failed for that very room
-    return std::any_of(no_room_.begin(), no_room_.end(), [&](const Room& r) { return r.within(job.spec); });
+    const bool further = takes_surplus(job);
+    return std::any_of(no_room_.begin(), no_room_.end(),
+                       [&](const Room& r) { return (r.surplus || !further) && r.within(job.spec); });
 }
 
-void Planner::remember_no_room(const Job& job) {
+void Planner::remember_no_room(const Job& job, bool surplus) {
     const JobSpec& s = job.spec;
     // Only where the rest of its constraints have not played a part.
     if (s.spread || s.one_zone || hopeless(job)) return;
     no_room_.push_back(room_of(job));
+    no_room_.back().surplus = surplus;
 }
 
 Planner::Room Planner::room_of(const Job& job) {
@@ -235,15 +239,22 @@
         if (job->open) shapes_->add(job->spec.need.cards, job->idle, job->bound);
 }
 
-/// The machines that a job may use and that have room for a task of it; those that only other controllers
-/// reach are asked separately.
-std::vector<Candidate> Planner::candidates_for(const Job& job, bool relayed,
-                                               std::vector<Machine*>& machines) {
+/// Whether it takes room on machines that are being emptied once it finds none elsewhere: urgent work at
+/// once, other work when it has waited for longer than it takes to find room by others' ends. What is left
+/// over never needs them.
+bool Planner::takes_surplus(const Job& job) const {
+    if (surplus_.empty() || (job.leftover() && !job.overdue)) return false;
+    return job.rank <= Rank::High || context_.host().now() - job.waiting_since > kSurplusAfter;
+}
+
+/// The machines that a job may use and that have room for a task of it, of one part.
+std::vector<Candidate> Planner::candidates_for(const Job& job, Reach reach, std::vector<Machine*>& machines) {
     std::vector<Candidate> list;
     list.reserve(usable_.size());
     machines.reserve(usable_.size());
-    for (Machine* m : usable_) {
-        if (m->out_of_reach() != relayed || !allowed(job, *m) || keeps_off(job, *m)) continue;
+    for (Machine* m : reach == Reach::Surplus ? surplus_ : usable_) {
+        if (reach != Reach::Surplus && m->out_of_reach() != (reach == Reach::Relayed)) continue;
+        if (!allowed(job, *m) || keeps_off(job, *m)) continue;
         Candidate c;
         c.index = machines.size();
         c.size = m->type->size;
@@ -387,8 +398,12 @@
     goals_.clear();
     // Nothing that a pass does makes a machine usable, or no longer so.
     usable_.clear();
+    surplus_.clear();
     for (const auto& [name, m] : ledger_.machines)
-        if (of_.usable(*m)) usable_.push_back(m.get());
+        if (of_.usable(*m))
+            usable_.push_back(m.get());
+        else if (of_.surplus(*m))
+            surplus_.push_back(m.get());
     const std::vector<Job*> waiting = queue(idle_turn);
     std::vector<planning::Queued> asked;
     asked.reserve(waiting.size());
@@ -574,12 +589,19 @@
         return false;
     }
     std::vector<Machine*> machines;
-    std::vector<Candidate> candidates = candidates_for(job, false, machines);
+    std::vector<Candidate> candidates = candidates_for(job, Reach::Direct, machines);
     if (candidates.empty() && !job.failed_on.empty()) {  // better where it failed than nowhere
         job.failed_on.clear();
-        candidates = candidates_for(job, false, machines);
+        candidates = candidates_for(job, Reach::Direct, machines);
     }
-    if (job.spec.kind == JobKind::Gang) return plan_gang(job, candidates, machines);
+    auto ask_more = [&](Reach reach) {
+        const auto more = candidates_for(job, reach, machines);
+        candidates.insert(candidates.end(), more.begin(), more.end());
+        return !more.empty();
+    };
+    if (job.spec.kind == JobKind::Gang)
+        return plan_gang(job, candidates, machines) ||
+               (takes_surplus(job) && ask_more(Reach::Surplus) && plan_gang(job, candidates, machines));
     if (job.leftover() && !job.overdue) job.idle_turn = now + idle_pause(job);
 
     std::map<std::string, int> per_zone = job.zones();
@@ -593,7 +615,8 @@
     // All tasks bound in one pass share an attempt number; it only tells one start from another.
     const std::int64_t attempt = job.next_attempt;
     bool all = true;
-    bool tried_relayed = false;
+    bool tried_relayed = false, tried_surplus = !takes_surplus(job);
+    const bool asks_surplus = !tried_surplus;
     const bool ready_only = job.holding_out = holds_out(job);
     while (job.first_idle < job.slots.size() && job.slots[job.first_idle].state != SlotState::Idle)
         ++job.first_idle;
@@ -645,15 +668,16 @@
                 chosen = at(better, job, open, machines);
                 if (chosen < 0) chosen = place_for(job, parts);
             }
-            if (chosen >= 0 || std::exchange(tried_relayed, true)) break;
-            // Better a machine that only others reach than none.
-            auto more = candidates_for(job, true, machines);
-            if (more.empty() && !zoning.rule) break;
-            candidates.insert(candidates.end(), more.begin(), more.end());
+            if (chosen >= 0 || (tried_relayed && tried_surplus)) break;
+            // Better a machine that only others reach than none, and one that is being emptied than none.
+            const bool relayed = !std::exchange(tried_relayed, true);
+            if (!relayed) tried_surplus = true;
+            const bool more = ask_more(relayed ? Reach::Relayed : Reach::Surplus);
+            if (!more && !zoning.rule && tried_surplus) break;
             parts.clear();
         }
         if (chosen < 0) {
-            if (!ready_only && !zoning.rule && !spares(job)) remember_no_room(job);
+            if (!ready_only && !zoning.rule && !spares(job)) remember_no_room(job, asks_surplus);
             if (!ready_only) job.no_room_at = now;
             return false;
         }
@@ -762,13 +786,15 @@
     const Zoning zoning = zoning_of(job);
     // Zones in which room may be made; where nothing can be, a rule gives way.
     std::vector<std::string> zones = zoning.standing;
+    std::vector<Machine*> within = usable_;
+    if (takes_surplus(job)) within.insert(within.end(), surplus_.begin(), surplus_.end());
     for (int waiting = 1; waiting <= most && preemptions_left_ > 0; ++waiting) {
         if (!quota_allows(job, waiting)) return;
         Machine* best = nullptr;
         std::vector<Victim> victims;
         double loss = 0;
         const auto choice = choose_zones(job, zoning, per_zone, zoning.rule ? &zones : nullptr);
-        for (Machine* machine : usable_) {
+        for (Machine* machine : within) {
             Machine& m = *machine;
             if (!allowed(job, m)) continue;
             if (ready_only && fetch_time(job, m) > 0) continue;
--- a/src/core/planner.hpp
+++ b/src/core/planner.hpp
@@ -29,6 +29,8 @@
         virtual ~Domain() = default;
         /// Whether new tasks may be bound to it.
         virtual bool usable(const Machine& m) const = 0;
+        /// Whether it could be, but is being emptied, since machines of its kind are too many on average.
+        virtual bool surplus(const Machine& m) const = 0;
         /// A task has been bound in the books: its record is to be written.
         virtual void bound(Job& job, int task) = 0;
         /// Tells a task to stop, with that much time to save.
@@ -88,7 +90,11 @@
     policy::Tier tier(const Job& job) const;
     bool spares(const Job& job) const;
     bool leaves_reserve(const Job& job, const std::string& zone, int chosen = 0) const;
-    std::vector<Candidate> candidates_for(const Job& job, bool relayed, std::vector<Machine*>& machines);
+    /// Machines that are asked one part after another: those that are reached, those that only other
+    /// controllers reach, and those that are being emptied.
+    enum class Reach { Direct, Relayed, Surplus };
+    std::vector<Candidate> candidates_for(const Job& job, Reach reach, std::vector<Machine*>& machines);
+    bool takes_surplus(const Job& job) const;
     /// Whether a machine has a job's image, or at least fetches it.
     enum class Image { Any, Fetching, Ready };
     struct Part {
@@ -126,7 +132,7 @@
                              const std::vector<Machine*>& machines);
     void book(Candidate& c, const Job& job) const;
     bool hopeless(const Job& job) const;
-    void remember_no_room(const Job& job);
+    void remember_no_room(const Job& job, bool surplus);
     bool in_vain(const Job& job, bool may_waste, bool reclaims) const;
     /// The operators' aims for a class, the shortest first.
     struct Goals {
@@ -139,6 +145,7 @@
         std::optional<std::string> zone;
         std::optional<std::vector<std::string>> types;
         Resources need;
+        bool surplus = false;  // it was looked for on machines that are being emptied as well
         bool within(const JobSpec& s) const;
     };
     static Room room_of(const Job& job);
@@ -167,6 +174,7 @@
     };
     std::map<std::string, Cores> zone_cores_;     // in the current pass, empty: nothing is kept for live work
     std::vector<Machine*> usable_;                // in the current pass, by name
+    std::vector<Machine*> surplus_;               // the same, of those that are being emptied
     mutable std::map<std::string, Goals> goals_;  // by class, in the current pass
     /// What found no room in the current pass: whatever needs as much under the same constraints won't
     /// either.
