--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -104,11 +104,10 @@
     });
 }
 
-bool Owner::usable(const Machine& m) const {
+bool Owner::bindable(const Machine& m) const {
     const Micros now = context_.host().now();
     return m.type && m.seq > 0 && m.token_seen >= token(m) && !m.retired && !m.retiring && !m.leaving &&
-           !m.draining && !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() &&
-           useless_for(m) < patience();
+           !m.notice && !m.suspect && now >= m.avoid_until && m.strays.empty() && useless_for(m) < patience();
 }
 
 /// Whether every lease that the worker may hold has run out: what we granted, what a former holder may have
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -76,6 +76,7 @@
     void mute(const std::string& machine, bool on);
     /// Part of the machines that are rented from now on and up within two seconds.
     double swift_boots = 0;
+    Micros slow_links = 0;  // messages between all hosts take up to so much longer
     double loss = 0;
     double answers_lost = 0;  // of the state service
     /// Part of all reports, commands, changes, rental and users' requests that arrive once more, up to
@@ -123,8 +124,9 @@
     int users_at = -1;            // the node that users go to while it is up; -1: any
     int poll_rate = 1;            // how many times as often as usual users poll
     Micros poll_pause = kSecond;  // at least, thrice as much at most
-    /// All troubles are over: from now on accepted jobs are due an answered poll.
-    void calm() { calm_since_ = now_; }
+    /// All troubles are over: from now on accepted jobs are due an answered poll and, where there is room, a
+    /// start.
+    void calm();
     /// Of all accepted jobs.
     std::vector<Fate> fates() const;
     /// Requests of a node to the state service so far.
@@ -254,6 +256,9 @@
     void heal(const std::vector<std::pair<std::string, std::string>>& links);
     Micros unanswered(const User& u) const;
     void tick();
+    /// What there is, for LeftWaiting.
+    Sight sight();
+    void watch_waiting();
     void report(const std::string& machine);
     void start_node(int i);
     void boot_machines();
@@ -308,6 +313,7 @@
     std::set<std::pair<std::string, int>> running_before_;
     std::size_t started_again_ = 0;
     Micros calm_since_ = -1;
+    LeftWaiting left_waiting_;
     std::map<std::string, LostZone> lost_zones_;
 };
 
