Pieces of a limit go only to where all of them together are enough

Change: whoever is asked yields only what makes the asker's need whole. Seen: 24 of 24 tests of shares, limits, late transactions and starvation. Not seen: a test that fails without it.

--- a/src/core/barter.cpp
+++ b/src/core/barter.cpp
@@ -112,6 +112,8 @@
 /// What is too little for a task in each of several domains would be used by none. It gathers where least is
 /// lacking, so it goes to and fro nowhere, and not where all of it would be too little.
 bool Barter::yields(const Owner& from, const peer::ShareWant& want) const {
+    // Where all the pieces would be too little as well, they would only come back.
+    if (!want.amount.fits(unused_elsewhere(want.domain, want.team))) return false;
     const auto lacks = from.short_by(want.team);
     if (!lacks || (lacks->cores <= 0 && lacks->cards <= 0)) return false;  // what waits here will use it
     if (!lacks->fits(unused_elsewhere(from.domain(), want.team))) return true;
