Two traces share the task that is superseded while its machine hangs

Cause, from reading the whole change once more: both wrote the same eight steps. Change: supersede in tests/late.hpp serves both; the assertion stands there, and each trace still ends where it fails. No behaviour changed.

--- a/tests/late.hpp
+++ b/tests/late.hpp
@@ -33,6 +33,25 @@
     for (int i = 0; i < w.node_count(); ++i) w.cut(host(i), machine);
 }
 
+/// A service of one task (job 1), whose machine hangs until the task is started elsewhere, and then goes on
+/// without it. That machine, and a report of before that shows the task there.
+struct Superseded {
+    std::string machine;
+    Value running;
+};
+inline Superseded supersede(lab::World& w) {
+    w.submit(w.job(1, JobKind::Service, 1), 0);
+    w.run(3 * kSecond);
+    const std::string machine = *w.machines_of("req-000001").begin();
+    const Value running = on_its_way(w, machine);
+    w.hang(machine, true);
+    w.run(25 * kSecond);
+    w.hang(machine, false);
+    w.run(5 * kSecond);
+    EXPECT_EQ(w.machines_of("req-000001").count(machine), 0u) << w.story();
+    return {machine, running};
+}
+
 /// Nothing is returned for being idle.
 inline Settings patient(double cpu_share = 1.0) {
     Settings site = lab::small_site();
--- a/tests/late_messages_test.cpp
+++ b/tests/late_messages_test.cpp
@@ -104,15 +104,8 @@
 TEST(LateMessages, ANewHolderHearsOldReportsFirst) {
     for (Micros first = 0; first < 4 * kSecond; first += 1500 * kMillisecond) {
         auto w = calm(25, 3);
-        w->submit(w->job(1, JobKind::Service, 1), 0);
-        w->run(3 * kSecond);
-        const std::string machine = *w->machines_of("req-000001").begin();
-        const Value running = on_its_way(*w, machine);
-        w->hang(machine, true);
-        w->run(25 * kSecond);
-        w->hang(machine, false);
-        w->run(5 * kSecond);
-        ASSERT_EQ(w->machines_of("req-000001").count(machine), 0u) << w->story();
+        const auto [machine, running] = supersede(*w);
+        ASSERT_FALSE(testing::Test::HasFailure());
         for (int i = 0; i < 3; ++i) w->cut(host(i), machine);  // nothing newer arrives from it
         w->crash(w->holder(), 60 * kSecond);
         w->run(first);
--- a/tests/next_leader_test.cpp
+++ b/tests/next_leader_test.cpp
@@ -44,15 +44,8 @@
 /// heard any more; when the task is to start again, that copy must not stand in its way for ever.
 TEST(NextLeader, WhatAnOldReportShowsHoldsATaskUpForALeaseAtMost) {
     auto w = calm(42, 3, patient());
-    w->submit(w->job(1, JobKind::Service, 1), 0);
-    w->run(3 * kSecond);
-    const std::string machine = *w->machines_of("req-000001").begin();
-    const Value running = on_its_way(*w, machine);
-    w->hang(machine, true);
-    w->run(25 * kSecond);
-    w->hang(machine, false);
-    w->run(5 * kSecond);
-    ASSERT_EQ(w->machines_of("req-000001").count(machine), 0u) << w->story();
+    const auto [machine, running] = supersede(*w);
+    ASSERT_FALSE(testing::Test::HasFailure());
     cut_from_all(*w, machine);
     end(*w, false);
     w->run(w->settings.ops.live_ttl + authority(w->settings));  // what the former holder granted is over soon
