Reproduce ran_cancelled: cancelled tasks go on where direct calls can't be sent

What callers see: a job is reported cancelled, its tasks go on beyond cancel_s. Cause, as seen in the simulator: a stop counts as sent when it is put into a message. A direct call that is never sent (no socket left, as happens at 4,000 machines) sets that time as well, and heartbeats within report_s of it are answered with 200 and no stop. With report_s = 8 the next direct call sets the time again before the next heartbeat can hold a stop, for as long as calls fail. The simulator can now leave a controller without sockets for its calls (exhaust_sockets).

--- a/src/simulation/simulator.cpp
+++ b/src/simulation/simulator.cpp
@@ -103,14 +103,12 @@
             self->simulator_.send(self->name_, to, [self, call, to, back] { self->arrive(call, to, back); });
         };
         if (call.target != Target::Worker && call.target != Target::Peer) return send();
+        const bool no_socket = simulator_.nodes_[static_cast<std::size_t>(index_)].sockets_exhausted;
+        if (call.target == Target::Worker && no_socket) return finish_unsent(0, finish);
         // A connection first: one that does not come about in time has carried nothing.
         const bool refused = call.target == Target::Peer && !simulator_.node(std::stoi(to.substr(5)));
         if (to.empty() || refused || simulator_.is_cut(name_, to)) {
-            simulator_.at(simulator_.now_ + (refused ? kMillisecond : std::min(call.timeout, kSecond)),
-                          [finish] {
-                              finish(Reply{kNotSent, {}});
-                          });
-            return;
+            return finish_unsent(refused ? kMillisecond : std::min(call.timeout, kSecond), finish);
         }
         simulator_.at(simulator_.now_ + simulator_.delay(), send);
     }
@@ -120,6 +118,9 @@
     struct Pending {
         bool over = false;
     };
+    void finish_unsent(Micros after, const std::function<void(const Reply&)>& finish) {
+        simulator_.at(simulator_.now_ + after, [finish] { finish(Reply{kNotSent, {}}); });
+    }
     /// Time-outs go by the time spent listening.
     void release_shard(Micros deadline, const std::shared_ptr<Pending>& pending,
                        const std::function<void(const Reply&)>& finish) {
@@ -414,6 +415,11 @@
     nodes_[static_cast<std::size_t>(i)].refused = on;
 }
 
+void Simulator::exhaust_sockets(int i, bool on) {
+    note("loom-" + std::to_string(i) + (on ? " has no socket left for workers" : " has sockets again"));
+    nodes_[static_cast<std::size_t>(i)].sockets_exhausted = on;
+}
+
 void Simulator::cut_off(int i, bool on) {
     std::vector<std::pair<std::string, std::string>> links;
     const std::string host = "loom-" + std::to_string(i);
--- a/src/simulation/simulator.hpp
+++ b/src/simulation/simulator.hpp
@@ -67,6 +67,9 @@
     void cut_one_way(const std::string& from, const std::string& to);
     /// 503 for this node alone.
     void refuse(int node, bool on);
+    /// The process has no socket left to call workers with: none of its commands is sent. Workers that have
+    /// a connection to it go on reporting.
+    void exhaust_sockets(int node, bool on);
     /// The controller loses the state service and the other controllers, not its workers or users.
     void cut_off(int node, bool on);
     /// The machine's reports arrive; answers and direct commands to it are lost.
@@ -205,6 +208,7 @@
         std::shared_ptr<NodeRuntime> host;
         std::unique_ptr<Controller> controller;
         bool refused = false;
+        bool sockets_exhausted = false;
         std::uint64_t state_requests = 0;
         bool old = false;
         bool frozen = false;
