Every answer that renews a lease holds the stops of what is to stop there

A job was reported cancelled, its tasks ran on beyond cancel_s. Cause: an action counted as done when it was begun. ShardOwner::orders_for set stop_sent when it put a stop into a message, and left the stop out of every message for report_s from then on: also where the message was a direct call that was never sent, and also out of the answers to heartbeats, which renew the lease that would otherwise have ended the task. With report_s = 8, calls that are never sent are retried every 8 s, so hardly any heartbeat falls between; with report_s = 5 some do, by luck. Why this works: the limit of one stop per interval now holds for direct calls alone; an answer to a heartbeat holds the stop each time. A repeated stop has no effect by the protocol.

--- a/src/shard/command_dispatch.cpp
+++ b/src/shard/command_dispatch.cpp
@@ -95,7 +95,10 @@
         const AttemptKey key{job->spec.ref, task, slot.attempt};
         if (slot.stop) {
             if (!slot.launch_sent && !slot.seen) continue;  // never sent: given up in tick()
-            if (slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every) continue;
+            // An answer renews the lease of what is to stop, and an earlier stop may not have arrived.
+            const bool sent_lately =
+                slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every;
+            if (direct && sent_lately) continue;
             if (slot.phase == Phase::Saving && slot.grace > 0) continue;
             startup_.ordered(OrderKind::Stop, slot.stop_sent != 0);
             slot.stop_sent = now;
