A cancelled job that changes hands is stopped in all of its stored parts

A job with more tasks than one stored part holds was cancelled around the end of its holder; the tasks of its later parts ran on for as long as anybody looked. Cause: a check in one path and not in another. ShardOwner::adopt_part had the job's tasks stopped when part 0 said that the job is cancelled. The later parts are read after that, and what they bind was taken in as bound, without a stop; an attempt that is bound here is no stray, so its lease was renewed from then on. Why this works: whichever part is adopted, if the job is cancelled what it binds is stopped.

--- a/src/shard/job_records.cpp
+++ b/src/shard/job_records.cpp
@@ -281,7 +281,8 @@
     }
     for (std::size_t i = first; i < last; ++i)
         if (job.slots[i].state == SlotState::Binding) touch(job, part);
-    if (part == 0 && wire::text(value, "s") == "cancelled") cancel(job);
+    // Also what a later part binds: only the first one tells that the job is cancelled.
+    if (job.stage == Stage::Cancelled || (part == 0 && wire::text(value, "s") == "cancelled")) cancel(job);
     dirty_.insert(job.spec.ref);
     flush_due_ = true;
 }
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -55,5 +55,43 @@
                                          Timing{1'500 * kMillisecond, 10 * kSecond, 40 * kSecond}),
                          testing::PrintToStringParamName());
 
+/// How the holder of a job with several stored parts ends around the job's cancellation.
+struct Takeover {
+    const char* name;
+    Micros cancelled_after_end;
+};
+
+void PrintTo(const Takeover& takeover, std::ostream* out) {
+    *out << takeover.name;
+}
+
+class CancelledJobWithSeveralParts : public testing::TestWithParam<Takeover> {};
+
+TEST_P(CancelledJobWithSeveralParts, IsStoppedWholeByTheNextHolder) {
+    constexpr int kTasks = 200;
+    auto w = settled_simulator(3, 6);
+    w->submit(w->job(1, JobKind::Service, kTasks, 0.1), 0);
+    w->run(8 * kSecond);
+    const int holder = w->holder();
+    const std::size_t part_tasks = w->owner_at(holder)->jobs().at("req-000001")->part_tasks;
+    ASSERT_GT(static_cast<std::size_t>(w->running("req-000001")), part_tasks) << w->story();
+    // What the former holder sends after the cancellation does not arrive.
+    for (const auto& machine : w->machine_names()) w->cut(host(holder), machine);
+    w->at(w->now() + kSecond, [&w, holder] { w->crash(holder, 20 * kSecond); });
+    w->at(w->now() + kSecond + GetParam().cancelled_after_end, [&w] { w->cancel("req-000001"); });
+    w->run(10 * kSecond);
+    EXPECT_EQ(w->told("req-000001"), "cancelled") << w->story();
+    w->run(w->settings.cancel + 5 * kSecond);
+    EXPECT_EQ(w->running("req-000001"), 0) << w->story();
+    EXPECT_RULES(*w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Takeovers, CancelledJobWithSeveralParts,
+                         testing::Values(Takeover{"CancelledBeforeTheEnd", -500 * kMillisecond},
+                                         Takeover{"CancelledBeforeTheTakeover", 100 * kMillisecond},
+                                         Takeover{"CancelledDuringTheTakeover", 1'500 * kMillisecond},
+                                         Takeover{"CancelledAfterTheTakeover", 6 * kSecond}),
+                         testing::PrintToStringParamName());
+
 }  // namespace
 }  // namespace cottonway::test
