One place decides on renewals, launches and stops, and notices a renewal without a due stop

The decision stood in four places (the holder, a holder that reads, a relayed report, a renewal on another's behalf). Change: src/shard/permission.* decides, as pure functions over typed evidence, and returns nothing or a typed refusal. Every 200 to a heartbeat is made by HeartbeatRouter::renewal, which checks at run time that it holds a stop for each task whose job is known to be over: where one lacks it is added, logged as an error (event=renewal_without_stop) and counted; in the simulator that breaks the run. Reports older than another message, answered with the token alone so far, now get such stops as well.

--- a/src/api/heartbeat_router.cpp
+++ b/src/api/heartbeat_router.cpp
@@ -24,7 +24,8 @@
 HeartbeatRouter::HeartbeatRouter(Runtime& runtime, const Settings& settings, const ChangeFeed& feed,
                                  const StateCache& cache, const MembershipLease& membership_lease,
                                  const ShardAssignment& assignment, const LeaderElection& election,
-                                 MachineAllocator& machine_allocator, PeerDirectory& peers)
+                                 MachineAllocator& machine_allocator, PeerDirectory& peers,
+                                 permission::Counters& decisions)
     : runtime_(runtime),
       settings_(settings),
       feed_(feed),
@@ -34,6 +35,7 @@
       election_(election),
       machine_allocator_(machine_allocator),
       peers_(peers),
+      decisions_(decisions),
       in_flight_(settings.peers.size()),
       started_(runtime.now()) {}
 
@@ -44,7 +46,22 @@
 std::optional<ApiResponse> HeartbeatRouter::answer(ShardOwner& owner, const Report& r) const {
     auto answer = owner.on_report(r);
     if (!answer) return std::nullopt;
-    return ApiResponse{200, wire::report_answer(answer->token, answer->orders)};
+    return ApiResponse{200, renewal(r, answer->token, std::move(answer->orders))};
+}
+
+/// The answer that renews a worker's lease, whoever decided on it. No task goes on by it whose job is known
+/// here to be over.
+Json HeartbeatRouter::renewal(const Report& r, std::uint64_t token, std::vector<Order> orders) const {
+    const auto missing = permission::missing_stops(
+        r, orders, [this](const std::string& job) { return cache_.jobs.over(job); });
+    if (!missing.empty()) {
+        decisions_.violation();
+        const Order& first = missing.front();
+        spdlog::error("event=renewal_without_stop machine={} token={} task={}/{} attempt={} stops_added={}",
+                      r.machine, token, first.job, first.task, first.attempt, missing.size());
+        orders.insert(orders.end(), missing.begin(), missing.end());
+    }
+    return wire::report_answer(token, orders);
 }
 
 void HeartbeatRouter::report(const std::string& bytes, ApiResponder respond) {
@@ -164,7 +181,7 @@
     auto answer = o ? o->on_report(*r, true) : std::nullopt;
     if (!answer) return peer::Relayed{503, false, ""};
     return peer::Relayed{200, answer->direct,
-                         wire::encode(wire::report_answer(answer->token, answer->orders))};
+                         wire::encode(renewal(*r, answer->token, std::move(answer->orders)))};
 }
 
 /// Renews a worker's lease on behalf of a holder that neither it nor we can reach, with the holder's own
@@ -173,19 +190,35 @@
 /// authority, so that a cancellation ends every task in time.
 void HeartbeatRouter::renew_on_behalf(const Report& r, const Block& block, const ApiResponder& respond) {
     const Micros now = runtime_.now();
-    const ShardRecord* d = cache_.membership.shard(block.shard);
+    const ShardRecord* shard = cache_.membership.shard(block.shard);
+    const Block::Machine* machine = block.find(r.machine);
+    const Revision token = std::max(shard ? shard->mod_revision : 0, machine ? machine->token : 0);
+    const permission::Decision decision = may_renew_on_behalf(r, block, token);
+    decisions_.renewal(decision);
+    if (decision) return respond(unavailable());
     ProxiedWorker& proxied = proxied_workers_[r.machine];
-    // Promises that a former process of this node made are forgotten, so a new one waits until they are over.
-    const bool may = membership_lease_.announced() && cache_.membership.alive(settings_.node) &&
-                     lease_is_valid() && d && now - started_ > kForgotten * with_drift(settings_.lease) &&
-                     now >= proxied.refused_until;
-    const Block::Machine* m = block.find(r.machine);
-    const Revision token = std::max(d ? d->mod_revision : 0, m ? m->token : 0);
-    if (!may || !m || m->retired || r.token > token) return respond(unavailable());
     if (proxied.renewed == 0 || now - proxied.renewed > 30 * kSecond)
-        spdlog::info("machine {}: kept alive on behalf of {}", r.machine, d->holder);
+        spdlog::info("machine {}: kept alive on behalf of {}", r.machine, shard->holder);
     proxied.renewed = now;
-    respond({200, wire::report_answer(token, cache_.jobs.stops_of_what_is_over(r))});
+    respond({200, renewal(r, token, cache_.jobs.stops_of_what_is_over(r))});
+}
+
+permission::Decision HeartbeatRouter::may_renew_on_behalf(const Report& r, const Block& block,
+                                                          Revision token) const {
+    const Micros now = runtime_.now();
+    const Block::Machine* machine = block.find(r.machine);
+    const auto proxied = proxied_workers_.find(r.machine);
+    permission::ProxyEvidence evidence;
+    evidence.member = membership_lease_.announced() && cache_.membership.alive(settings_.node);
+    evidence.store_read_valid = lease_is_valid();
+    evidence.holder_known = cache_.membership.shard(block.shard) != nullptr;
+    // Promises that a former process of this node made are forgotten, so a new one waits until they are over.
+    evidence.former_promises_over = now - started_ > kForgotten * with_drift(settings_.lease);
+    evidence.relinquished = proxied != proxied_workers_.end() && now < proxied->second.refused_until;
+    evidence.machine_listed = machine && !machine->retired;
+    evidence.token = token;
+    evidence.token_seen = r.token;
+    return permission::renewal_on_behalf(evidence);
 }
 
 peer::Relinquished HeartbeatRouter::promise(const peer::Relinquish& ask) {
--- a/src/api/heartbeat_router.hpp
+++ b/src/api/heartbeat_router.hpp
@@ -18,7 +18,8 @@
     HeartbeatRouter(Runtime& runtime, const Settings& settings, const ChangeFeed& feed,
                     const StateCache& cache, const MembershipLease& membership_lease,
                     const ShardAssignment& assignment, const LeaderElection& election,
-                    MachineAllocator& machine_allocator, PeerDirectory& peers);
+                    MachineAllocator& machine_allocator, PeerDirectory& peers,
+                    permission::Counters& decisions);
 
     void report(const std::string& bytes, ApiResponder respond);
     /// A report that another controller has passed on; nothing for what is no report.
@@ -42,6 +43,8 @@
     };
     bool lease_is_valid() const;
     std::optional<ApiResponse> answer(ShardOwner& owner, const Report& r) const;
+    Json renewal(const Report& r, std::uint64_t token, std::vector<Order> orders) const;
+    permission::Decision may_renew_on_behalf(const Report& r, const Block& block, Revision token) const;
     void unknown_machine(const Report& r, ApiResponder respond);
     void lease(const Report& r, const ApiResponder& respond);
     void help(const Report& r, const Block& block, const std::string& bytes, ApiResponder respond);
@@ -58,6 +61,7 @@
     const LeaderElection& election_;
     MachineAllocator& machine_allocator_;
     PeerDirectory& peers_;
+    permission::Counters& decisions_;
     std::unordered_map<std::string, ProxiedWorker> proxied_workers_;
     std::set<std::string> probing_;  // machines in no block that are being called
     std::vector<int> in_flight_;     // requests to relinquish leases, by peer
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -41,7 +41,7 @@
       quota_allocator_(runtime, store_, settings_, feed_, cache_, assignment_, election_, machine_allocator_),
       capacity_broker_(runtime, cache_, assignment_, machine_allocator_, quota_allocator_, peers_),
       heartbeat_router_(runtime, settings_, feed_, cache_, membership_lease_, assignment_, election_,
-                        machine_allocator_, peers_),
+                        machine_allocator_, peers_, decisions_),
       job_service_(runtime, store_, settings_, feed_, cache_, assignment_, peers_, history_) {}
 
 Controller::~Controller() {
@@ -102,6 +102,9 @@
     std::string line;
     for (const auto& [purpose, n] : store_.sent()) line += " " + purpose + " " + std::to_string(n);
     spdlog::info("changes sent so far:{}", line);
+    spdlog::info("event=decisions confirmed_ms_ago={} revision={} leader={} term={} {}",
+                 feed_.confirmed_ago() / kMillisecond, feed_.store_revision(), election_.leader(),
+                 election_.term(), decisions_.line());
 }
 
 void Controller::wake() {
@@ -397,6 +400,7 @@
     v["policy"] = policies_.status();
     v["fleet"] = autoscaler_.status();
     v["changes_sent"] = store_.sent();
+    v["decisions"] = decisions_.value();
     return v;
 }
 
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -67,6 +67,8 @@
     }
     Micros steady_for() const override;
     bool has_valid_lease() const override;
+    permission::Counters& decisions() override { return decisions_; }
+    const permission::Counters& decisions() const { return decisions_; }
     std::vector<Order> stops_of_what_is_over(const Report& report) const override {
         return cache_.jobs.stops_of_what_is_over(report);
     }
@@ -99,6 +101,7 @@
     Settings settings_;
     StoreClient store_;
     StateCache cache_;
+    permission::Counters decisions_;
     ChangeFeed feed_;
     MembershipLease membership_lease_;
     LeaderElection election_;
--- a/src/shard/attempts.cpp
+++ b/src/shard/attempts.cpp
@@ -32,6 +32,7 @@
     set_idle(job, slot);
     if (durable) touch(job, static_cast<std::size_t>(task) / job.part_tasks);
     const Micros now = context_.runtime().now();
+    if (job.stage == Stage::Cancelled && job.bound == 0) cancellations_.gone(job.spec.ref, now);
     slot.retry_at = now + retry_in;
     if (job.idle == 1) job.waiting_since = now;
     dirty_.insert(job.spec.ref);
@@ -65,6 +66,7 @@
     if (job.stage != Stage::Cancelled)
         spdlog::info("job {}: cancelled, {} tasks to stop", job.spec.ref, job.bound);
     job.stage = Stage::Cancelled;
+    if (job.bound > 0) cancellations_.began(job.spec.ref, context_.runtime().now());
     for (std::size_t i = 0; i < job.slots.size(); ++i) {
         Slot& slot = job.slots[i];
         if (slot.state == SlotState::Binding)
--- a/src/shard/command_dispatch.cpp
+++ b/src/shard/command_dispatch.cpp
@@ -23,21 +23,28 @@
     if (it == shard_state_.machines.end()) return std::nullopt;
     Machine& m = *it->second;
     // Its new holder may reach it before the outcome of the move reaches us.
-    if (report.token > token(m) && m.leaving) return std::nullopt;
-    if (report.token > token(m)) {
+    permission::HolderEvidence evidence;
+    evidence.store_read_valid = context_.has_valid_lease();
+    evidence.session_over = report.session < m.min_session;
+    evidence.machine_leaving = m.leaving;
+    evidence.token = token(m);
+    evidence.token_seen = report.token;
+    const permission::Decision decision = permission::renewal_by_holder(evidence);
+    context_.decisions().renewal(decision);
+    if (decision == permission::Refusal::HigherTokenSeen) {
         spdlog::info("machine {} has seen a higher token than ours", report.machine);
         context_.on_ownership_lost(shard_);
-        return std::nullopt;
     }
-    if (!context_.has_valid_lease() || report.session < m.min_session) return std::nullopt;
+    if (decision) return std::nullopt;
     const Micros now = context_.runtime().now();
     if (m.addr.empty()) m.addr = report.addr;
     // What is as old as another message, or older, tells nothing new, not even that the machine can be heard.
-    // It gets the token alone: its worker may still wait for it if only the answer to a /do has overtaken it.
+    // It gets the token and stops alone: its worker may still wait for it if only the answer to a /do has
+    // overtaken it.
     // The lease that this renews counts from when it was sent, so from before what has overtaken it was
     // heard.
     if (!recovery::is_news({report.session, report.seq}, {m.session, m.seq}, m.min_session))
-        return Answer{token(m), {}, !m.out_of_reach()};
+        return Answer{token(m), context_.stops_of_what_is_over(report), !m.out_of_reach()};
     if (relayed && !m.relayed) m.relayed_since = now;
     m.relayed = relayed;
     if (active_)
@@ -55,36 +62,8 @@
 }
 
 std::vector<Order> ShardOwner::orders_for(Machine& m, bool direct) {
-    const Micros now = context_.runtime().now();
-    // A launch to a session that began after our authority, of a task whose cancellation we can't hear of,
-    // would outlive every bound on it.
-    const bool has_valid_lease = context_.has_valid_lease();
     std::vector<Order> orders;
-    std::size_t uncleared = 0;
-    for (const auto& t : m.exited) {
-        const AttemptKey key{t.job, t.task, t.attempt};
-        // After a clear the attempt is unknown to the worker, and a launch that is still on its way would
-        // start it once more: wait until none can be.
-        if (m.unacknowledged_launches.count(key) || m.launches_in_responses.count(key) ||
-            m.direct_launches.count(key))
-            continue;
-        // So would a copy of one that was carried out, for as long as token and session match. A result is
-        // kept, so that such a start ends at once; anything else would run, perhaps beside its successor.
-        if (const auto sent = m.acknowledged_launches.find(key);
-            sent != m.acknowledged_launches.end() && m.token_seen <= sent->second.token) {
-            if (t.cause != ExitCause::Done) ++uncleared;
-            if (t.cause != ExitCause::Done || now - sent->second.at <= kCopies) continue;
-        }
-        const Job* job = shard_state_.job(t.job);
-        if (job && t.task < job->spec.tasks) {
-            const Slot& slot = job->slots[static_cast<std::size_t>(t.task)];
-            if (slot.state == SlotState::DonePending) continue;  // durable first
-        }
-        m.acknowledged_launches.erase(key);
-        orders.push_back({OrderKind::Clear, t.job, t.task, t.attempt, 0});
-        startup_.ordered(OrderKind::Clear, false);
-    }
-    if (uncleared > kMaxUncleared) raise(m);
+    add_clears(m, orders);
     for (const auto& t : m.orphaned_tasks) {
         orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
         startup_.ordered(OrderKind::Stop, false);
@@ -93,42 +72,89 @@
         Slot& slot = job->slots[static_cast<std::size_t>(task)];
         if (slot.state != SlotState::Bound || (slot.seen && !slot.stop)) continue;
         const AttemptKey key{job->spec.ref, task, slot.attempt};
-        if (slot.stop) {
-            if (!slot.launch_sent && !slot.seen) continue;  // never sent: given up in tick()
-            // An answer renews the lease of what is to stop, and an earlier stop may not have arrived.
-            const bool sent_lately =
-                slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every;
-            if (direct && sent_lately) continue;
-            if (slot.phase == Phase::Saving && slot.grace > 0) continue;
-            startup_.ordered(OrderKind::Stop, slot.stop_sent != 0);
-            slot.stop_sent = now;
-            orders.push_back({OrderKind::Stop, key.job, task, slot.attempt, slot.grace});
-            continue;
-        }
-        if (!has_valid_lease || job->stage != Stage::Queued || m.token_seen < token(m)) continue;
-        if (slot.foreign || m.direct_launches.count(key)) continue;
-        if (job->spec.kind == JobKind::Gang &&
-            std::any_of(job->slots.begin(), job->slots.end(),
-                        [](const Slot& s) { return s.state != SlotState::Bound; }))
-            continue;
-        // The answer to a report is the second way; it is taken when the direct one does not work.
-        if (!direct && ((m.direct_backoff == 0 && !m.out_of_reach()) || m.launches_in_responses.count(key)))
-            continue;
-        startup_.ordered(OrderKind::Launch, slot.launch_sent);
-        slot.launch_by_answer = !direct && !m.unacknowledged_launches.count(key);
-        slot.launch_sent = true;
-        slot.launch_token = token(m);
-        slot.launch_session = m.session;
-        slot.launch_seq = m.seq;
-        if (direct)
-            m.direct_launches.insert(key);
+        if (slot.stop)
+            add_stop(slot, key, direct, orders);
         else
-            m.launches_in_responses[key] = m.seq;
-        orders.push_back({OrderKind::Launch, key.job, task, slot.attempt, 0});
+            add_launch(m, *job, slot, key, direct, orders);
     }
     return orders;
 }
 
+void ShardOwner::add_clears(Machine& m, std::vector<Order>& orders) {
+    std::size_t uncleared = 0;
+    for (const auto& t : m.exited) {
+        if (!may_clear(m, t, uncleared)) continue;
+        m.acknowledged_launches.erase({t.job, t.task, t.attempt});
+        orders.push_back({OrderKind::Clear, t.job, t.task, t.attempt, 0});
+        startup_.ordered(OrderKind::Clear, false);
+    }
+    if (uncleared > kMaxUncleared) raise(m);
+}
+
+/// After a clear the attempt is unknown to the worker, and a launch that is still on its way would start it
+/// once more: not before none can be. `uncleared` counts those that wait for a higher token.
+bool ShardOwner::may_clear(const Machine& m, const ReportedTask& t, std::size_t& uncleared) const {
+    const AttemptKey key{t.job, t.task, t.attempt};
+    if (may_come(m, key)) return false;
+    // So would a copy of one that was carried out, for as long as token and session match. A result is
+    // kept, so that such a start ends at once; anything else would run, perhaps beside its successor.
+    if (const auto sent = m.acknowledged_launches.find(key);
+        sent != m.acknowledged_launches.end() && m.token_seen <= sent->second.token) {
+        if (t.cause != ExitCause::Done) ++uncleared;
+        if (t.cause != ExitCause::Done || context_.runtime().now() - sent->second.at <= kCopies) return false;
+    }
+    const Job* job = shard_state_.job(t.job);
+    if (!job || t.task >= job->spec.tasks) return true;
+    return job->slots[static_cast<std::size_t>(t.task)].state != SlotState::DonePending;  // durable first
+}
+
+void ShardOwner::add_stop(Slot& slot, const AttemptKey& key, bool direct, std::vector<Order>& orders) {
+    const Micros now = context_.runtime().now();
+    permission::StopEvidence evidence;
+    evidence.may_run = slot.launch_sent || slot.seen;  // else given up in tick()
+    evidence.saving_with_grace = slot.phase == Phase::Saving && slot.grace > 0;
+    evidence.renews_lease = !direct;
+    evidence.sent_lately = slot.stop_sent != 0 && now - slot.stop_sent < context_.settings().report_every;
+    if (!permission::stop_is_due(evidence)) return;
+    startup_.ordered(OrderKind::Stop, slot.stop_sent != 0);
+    slot.stop_sent = now;
+    cancellations_.stop_sent(key.job, now);
+    orders.push_back({OrderKind::Stop, key.job, key.task, key.attempt, slot.grace});
+}
+
+void ShardOwner::add_launch(Machine& m, const Job& job, Slot& slot, const AttemptKey& key, bool direct,
+                            std::vector<Order>& orders) {
+    permission::LaunchEvidence evidence;
+    // A launch to a session that began after our authority, of a task whose cancellation we can't hear of,
+    // would outlive every bound on it.
+    evidence.store_read_valid = context_.has_valid_lease();
+    evidence.job_queued = job.stage == Stage::Queued;
+    evidence.token = token(m);
+    evidence.token_seen = m.token_seen;
+    evidence.bound_by_other_holder = slot.foreign;
+    evidence.call_in_flight = m.direct_launches.count(key) > 0;
+    evidence.gang_complete = job.spec.kind != JobKind::Gang ||
+                             std::all_of(job.slots.begin(), job.slots.end(),
+                                         [](const Slot& s) { return s.state == SlotState::Bound; });
+    // The answer to a report is the second way; it is taken when the direct one does not work.
+    const bool direct_works = m.direct_backoff == 0 && !m.out_of_reach();
+    evidence.direct_call_preferred = !direct && (direct_works || m.launches_in_responses.count(key));
+    const permission::Decision decision = permission::launch(evidence);
+    context_.decisions().launch(decision);
+    if (decision) return;
+    startup_.ordered(OrderKind::Launch, slot.launch_sent);
+    slot.launch_by_answer = !direct && !m.unacknowledged_launches.count(key);
+    slot.launch_sent = true;
+    slot.launch_token = token(m);
+    slot.launch_session = m.session;
+    slot.launch_seq = m.seq;
+    if (direct)
+        m.direct_launches.insert(key);
+    else
+        m.launches_in_responses[key] = m.seq;
+    orders.push_back({OrderKind::Launch, key.job, key.task, key.attempt, 0});
+}
+
 /// Whether a worker whose reports are relayed, or that left a call unanswered, is to be called, to find out
 /// whether it can be reached again.
 bool ShardOwner::probe_due(const Machine& m) const {
--- a/src/shard/load_exchange.cpp
+++ b/src/shard/load_exchange.cpp
@@ -261,6 +261,7 @@
             {"tasks_bound", running},
             {"machines", machines},
             {"start", startup_.value()},
+            {"cancellations", cancellations_.value(context_.runtime().now())},
             {"waiting", waiting_by_tier()}};
 }
 
--- a/src/shard/shard_owner.cpp
+++ b/src/shard/shard_owner.cpp
@@ -209,6 +209,9 @@
         if (m.notice && now <= m.notice_end) drain_noticed(m);
     }
     flush_due_ = true;
+    for (const auto& job : cancellations_.overdue(now, context_.settings().cancel / 2))
+        spdlog::warn("event=cancellation_unfinished job={} domain={} token={} for_ms={}", job, shard_,
+                     mod_revision_, context_.settings().cancel / 2 / kMillisecond);
     if (const std::string line = startup_.line(now); !line.empty())
         spdlog::info("domain {}: {}", shard_, line);
     if (active_) {
--- a/src/shard/shard_owner.hpp
+++ b/src/shard/shard_owner.hpp
@@ -20,6 +20,8 @@
 #include "kvstore/store_client.hpp"
 #include "peer/messages.hpp"
 #include "protocol/protocol.hpp"
+#include "shard/cancellation_tracker.hpp"
+#include "shard/permission.hpp"
 #include "shard/rebalancer.hpp"
 #include "shard/reconciliation.hpp"
 #include "shard/scheduler.hpp"
@@ -64,6 +66,7 @@
     virtual bool has_valid_lease() const = 0;
     /// Orders to stop what runs there although its job is over, as far as is known here.
     virtual std::vector<Order> stops_of_what_is_over(const Report& report) const = 0;
+    virtual permission::Counters& decisions() = 0;
 
     enum class MachineEdit { Raise, Retire, RetireNow };
     /// Rewrites the block record that lists the machine; the outcome arrives as news of the record.
@@ -244,6 +247,11 @@
     void adopt_part(Job& job, std::size_t part, const Json& value, Revision mod_revision);
 
     std::vector<Order> orders_for(Machine& m, bool direct);
+    void add_clears(Machine& m, std::vector<Order>& orders);
+    bool may_clear(const Machine& m, const ReportedTask& t, std::size_t& uncleared) const;
+    void add_stop(Slot& slot, const AttemptKey& key, bool direct, std::vector<Order>& orders);
+    void add_launch(Machine& m, const Job& job, Slot& slot, const AttemptKey& key, bool direct,
+                    std::vector<Order>& orders);
     bool probe_due(const Machine& m) const;
     void request_dispatch(Machine& m);
     void send_orders();
@@ -263,6 +271,7 @@
     ShardState shard_state_;
     Scheduler scheduler_;
     Rebalancer rebalancer_;
+    CancellationTracker cancellations_;
     std::uint64_t next_serial_ = 1;
     std::set<std::string> dirty_;
     std::vector<Condition> stale_records_;  // records under c/active/ of jobs that are over, to be dropped
--- a/src/simulation/simulator.cpp
+++ b/src/simulation/simulator.cpp
@@ -460,6 +460,7 @@
                                {"10.0.0." + std::to_string(p + 1), static_cast<std::uint16_t>(8081)}});
     s.zone = settings.zones[static_cast<std::size_t>(i) % settings.zones.size()];
     s.announces_format = !n.old;
+    n.violations = 0;
     n.host = std::make_shared<NodeRuntime>(*this, i, random());
     n.controller = std::make_unique<Controller>(*n.host, s);
     n.controller->start();
@@ -605,6 +606,11 @@
         const bool due = now_ >= r.next || (r.worker->changed && now_ - r.last >= 500 * kMillisecond);
         if (!r.in_flight && due) report(name);
     }
+    for (auto& n : nodes_) {
+        if (!n.controller || n.controller->decisions().violations() == n.violations) continue;
+        n.violations = n.controller->decisions().violations();
+        breach("invariant", "a lease was about to be renewed without a stop that was due");
+    }
     for (auto& [ref, u] : users_) {
         if (u.told != "cancelled" || now_ <= u.cancelled_at + settings.cancel) continue;
         if (running(ref) > 0) breach("ran_cancelled", ref + " is still on a machine");
--- a/src/simulation/simulator.hpp
+++ b/src/simulation/simulator.hpp
@@ -209,6 +209,7 @@
         std::unique_ptr<Controller> controller;
         bool refused = false;
         bool sockets_exhausted = false;
+        std::uint64_t violations = 0;  // of its run-time invariants, so far
         std::uint64_t state_requests = 0;
         bool old = false;
         bool frozen = false;
