--- a/tools/check_includes.sh
+++ b/tools/check_includes.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 order=(base protocol peer logging config policy kvstore cache scheduling shard cluster allocation api controller
-    net fakes simulation verify cli)
+    net fakes simulation soak verify cli)
 exceptions="src/config/settings.hpp policy/policy.hpp
 src/cluster/peer_directory.cpp allocation/autoscaler.hpp
 src/cluster/shard_assignment.cpp allocation/machine_allocator.hpp"
--- a/tools/standins.cpp
+++ b/tools/standins.cpp
@@ -6,8 +6,7 @@
 #include <map>
 
 #include "fakes/fakes.hpp"
-#include "net/http_client.hpp"
-#include "net/http_server.hpp"
+#include "fakes/live_worker.hpp"
 
 using namespace cottonway;
 
@@ -37,53 +36,6 @@
         .count();
 }
 
-/// One worker: its server, and its reports to the controllers.
-class LiveWorker {
-  public:
-    LiveWorker(asio::io_context& io, std::unique_ptr<fakes::Worker> worker, std::vector<Endpoint> controllers)
-        : worker_(std::move(worker)),
-          controllers_(std::move(controllers)),
-          client_(io, 1, 1),
-          server_(io, parse_endpoint(worker_->addr()), {},
-                  [this](const net::Request& r, const net::Responder& respond) {
-                      const Json body = wire::decode(r.body).value_or(Json());
-                      const Reply reply = worker_->handle(r.method, r.path, body, now());
-                      respond({reply.status, wire::encode(reply.body), "application/msgpack", 0});
-                  }) {
-        server_.start();
-    }
-
-    void tick() {
-        worker_->advance(now());
-        const Micros t = now();
-        if (busy_ || t < next_ || (!worker_->changed && t - sent_ < kSecond)) return;
-        busy_ = true;
-        sent_ = t;
-        next_ = t + 500 * kMillisecond;
-        const auto session = worker_->session();
-        client_.call(controllers_[target_], "POST", "/v1/report", wire::encode(worker_->report(t)),
-                     4 * kSecond, [this, session, t](const net::ClientReply& r) {
-                         busy_ = false;
-                         if (r.status == 200) {
-                             worker_->answered(wire::decode(r.body).value_or(Json()), session, t, now());
-                             return;
-                         }
-                         target_ = (target_ + 1) % controllers_.size();
-                         next_ = now() + kSecond;
-                     });
-    }
-
-  private:
-    std::unique_ptr<fakes::Worker> worker_;
-    std::vector<Endpoint> controllers_;
-    net::HttpClient client_;
-    net::HttpServer server_;
-    std::size_t target_ = 0;
-    bool busy_ = false;
-    Micros next_ = 0;
-    Micros sent_ = 0;
-};
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -136,20 +88,21 @@
     state_server.start();
     cloud_server.start();
 
-    std::vector<Endpoint> nodes;
-    for (const auto& c : controllers) nodes.push_back(parse_endpoint(c));
-    std::vector<std::unique_ptr<LiveWorker>> live;
+    // The controllers' names are not known here: a worker that is sent to another tries them in turn.
+    std::vector<fakes::LiveWorker::Controller> nodes;
+    for (const auto& c : controllers) nodes.push_back({"", parse_endpoint(c)});
+    std::vector<std::unique_ptr<fakes::LiveWorker>> live;
     for (int i = 0; i < workers; ++i) {
         const std::string zone = i % 2 ? "b" : "a";
         const std::string name = cloud.rent_one("small", zone, false, now(), 0);
         const std::string addr = "127.0.0.1:" + std::to_string(worker_port + i);
         cloud.machines()[name].info.addr = addr;
         cloud.machines()[name].info.state = CloudState::Running;
-        live.push_back(std::make_unique<LiveWorker>(
+        live.push_back(std::make_unique<fakes::LiveWorker>(
             io,
             std::make_unique<fakes::Worker>(name, addr, small, zone, false, 10 * kSecond, 30 * kSecond, tasks,
                                             now()),
-            nodes));
+            nodes, fakes::LiveWorker::Options{}));
     }
     std::cout << "state on " << state_port << ", cloud on " << cloud_port << ", " << workers
               << " workers from " << worker_port << std::endl;
