--- a/src/api/heartbeat_router.cpp
+++ b/src/api/heartbeat_router.cpp
@@ -200,7 +200,7 @@
     if (proxied.renewed == 0 || now - proxied.renewed > 30 * kSecond)
         spdlog::info("machine {}: kept alive on behalf of {}", r.machine, shard->holder);
     proxied.renewed = now;
-    respond({200, renewal(r, token, cache_.jobs.stops_of_what_is_over(r))});
+    respond({200, renewal(r, token, cache_.jobs.stops_for_finished_jobs(r))});
 }
 
 permission::Decision HeartbeatRouter::may_renew_on_behalf(const Report& r, const Block& block,
--- a/src/cache/job_cache.cpp
+++ b/src/cache/job_cache.cpp
@@ -200,7 +200,7 @@
     return (view && view->final()) || dependency_graph_.dependency_status(ref).cancelled_by_dependency;
 }
 
-std::vector<Order> JobCache::stops_of_what_is_over(const Report& report) const {
+std::vector<Order> JobCache::stops_for_finished_jobs(const Report& report) const {
     std::vector<Order> orders;
     for (const auto& t : report.tasks)
         if (t.phase != Phase::Exited && over(t.job))
--- a/src/cache/job_cache.hpp
+++ b/src/cache/job_cache.hpp
@@ -109,7 +109,7 @@
     /// Whether the job is known to be over, by its own record or with one that it needs.
     bool over(const std::string& ref) const;
     /// Orders to stop what a worker reports of jobs that are over, at once.
-    std::vector<Order> stops_of_what_is_over(const Report& report) const;
+    std::vector<Order> stops_for_finished_jobs(const Report& report) const;
 
     DependencyGraph& dependency_graph() { return dependency_graph_; }
     const DependencyGraph& dependency_graph() const { return dependency_graph_; }
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -69,8 +69,8 @@
     bool has_valid_lease() const override;
     permission::Counters& decisions() override { return decisions_; }
     const permission::Counters& decisions() const { return decisions_; }
-    std::vector<Order> stops_of_what_is_over(const Report& report) const override {
-        return cache_.jobs.stops_of_what_is_over(report);
+    std::vector<Order> stops_for_finished_jobs(const Report& report) const override {
+        return cache_.jobs.stops_for_finished_jobs(report);
     }
     void edit_machine(const std::string& shard, const std::string& machine, MachineEdit edit,
                       std::function<void(bool)> done) override {
--- a/src/shard/command_dispatch.cpp
+++ b/src/shard/command_dispatch.cpp
@@ -44,7 +44,7 @@
     // The lease that this renews counts from when it was sent, so from before what has overtaken it was
     // heard.
     if (!recovery::is_news({report.session, report.seq}, {m.session, m.seq}, m.min_session))
-        return Answer{token(m), context_.stops_of_what_is_over(report), !m.out_of_reach()};
+        return Answer{token(m), context_.stops_for_finished_jobs(report), !m.out_of_reach()};
     if (relayed && !m.relayed) m.relayed_since = now;
     m.relayed = relayed;
     if (active_)
@@ -54,7 +54,7 @@
     Answer answer{token(m), {}, !m.out_of_reach()};
     // Until everything is read, which an outage may put off for long, a lease is not renewed for what is
     // known to be over.
-    answer.orders = active_ ? orders_for(m, false) : context_.stops_of_what_is_over(report);
+    answer.orders = active_ ? orders_for(m, false) : context_.stops_for_finished_jobs(report);
     // Whether the worker can be reached without help is found out by calling it now and then.
     if (probe_due(m)) request_dispatch(m);
     if (plan_due_ || flush_due_ || !dispatch_due_.empty()) context_.wake();
--- a/src/shard/shard_owner.hpp
+++ b/src/shard/shard_owner.hpp
@@ -65,7 +65,7 @@
     /// lease_validity.hpp). Stopping needs no such thing.
     virtual bool has_valid_lease() const = 0;
     /// Orders to stop what runs there although its job is over, as far as is known here.
-    virtual std::vector<Order> stops_of_what_is_over(const Report& report) const = 0;
+    virtual std::vector<Order> stops_for_finished_jobs(const Report& report) const = 0;
     virtual permission::Counters& decisions() = 0;
 
     enum class MachineEdit { Raise, Retire, RetireNow };
