--- a/src/soak/controller_process.cpp
+++ b/src/soak/controller_process.cpp
@@ -18,6 +18,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     // The sockets of the test are not its own.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string config = "--config";
