--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+#include <vector>
+
 #include "settled_simulator.hpp"
 
 namespace cottonway::test {
@@ -93,5 +97,124 @@
                                          Takeover{"CancelledAfterTheTakeover", 6 * kSecond}),
                          testing::PrintToStringParamName());
 
+/// More than a controller keeps views of.
+constexpr int kOtherJobs = 20'001;
+constexpr Micros kLearning = 500 * kMillisecond;  // of them, one after the other
+constexpr Micros kReadingAgain = 2 * kSecond;
+
+/// Writes final records of other jobs, as their holders would; the controllers learn of them in steps, or by
+/// reading everything again.
+void finish_other_jobs(Simulator& w, bool as_news) {
+    const auto per_change = static_cast<int>(w.state().limits.txn_ops);
+    for (int first = 0; first < kOtherJobs; first += per_change) {
+        Json writes = Json::array();
+        for (int i = first; i < std::min(first + per_change, kOtherJobs); ++i)
+            writes.push_back(Json{{"write", keys::job + "req-9" + std::to_string(100'000 + i)},
+                                  {"data", {{"s", "done"}, {"dom", "loom-0"}, {"k", 1}, {"fd", 1}}}});
+        const Json change{{"when", Json::array()}, {"then", writes}};
+        ASSERT_EQ(w.state().handle("POST", "/commit", change, w.now()).status, 200);
+        if (as_news) w.run(per_change * kLearning / kOtherJobs);
+    }
+    w.run(as_news ? kLearning : kReadingAgain);
+}
+
+/// Its user cancels through another controller until that has confirmed it.
+void cancel_beside(Simulator& w, int node, const std::string& ref) {
+    w.users_at = (node + 1) % w.node_count();
+    w.cancel(ref);
+    for (int i = 0; i < 600 && w.told(ref) != "cancelled"; ++i) w.run(10 * kMillisecond);
+    ASSERT_EQ(w.told(ref), "cancelled") << w.story();
+}
+
+/// How the controllers learn of many finished jobs.
+struct OtherJobs {
+    const char* name;
+    bool as_news;             // or by reading everything again
+    std::set<int> old_nodes;  // of the version before: while there are some, final records are read as well
+};
+const std::vector<OtherJobs> kWaysToLearn{{"as news", true, {}},
+                                          {"reading again", false, {}},
+                                          {"reading again with the history", false, {0, 1, 2}}};
+
+/// A service of two tasks that its user cancels, beside one that goes on.
+struct CancelledService {
+    CancelledService(std::uint64_t seed, const std::set<int>& old_nodes) : w(seed) {
+        for (int i = 0; i < 2; ++i) w.add_machine("small", "a");
+        w.start_nodes(3, old_nodes);
+        w.run(6 * kSecond);
+        w.submit(w.job(1, JobKind::Service, 2), 0);
+        w.submit(w.job(2, JobKind::Service, 2), 0);
+        w.run(30 * kSecond);  // a controller renews no lease for others before
+        holder = w.holder();
+    }
+    /// The holder reaches the store only, and other controllers renew its workers' leases.
+    void isolate_holder() {
+        for (const auto& machine : w.machine_names()) w.cut(host(holder), machine);
+        for (int i = 0; i < w.node_count(); ++i)
+            if (i != holder) w.cut(host(holder), host(i));
+        w.run(10 * kSecond);
+    }
+    void mute(bool on) {
+        for (const auto& machine : w.machine_names()) w.mute(machine, on);
+    }
+    void cancel_before(const OtherJobs& other_jobs) {
+        cancel_beside(w, holder, "req-000001");
+        finish_other_jobs(w, other_jobs.as_news);
+        EXPECT_EQ(w.running("req-000001"), 2) << w.story();
+    }
+
+    Simulator w;
+    int holder = -1;
+};
+
+// ran_cancelled: leases were renewed on the holder's behalf without a stop.
+TEST(CancelledBeforeManyFinishedJobs, IsStoppedByControllersThatRenewOnItsHoldersBehalf) {
+    for (const OtherJobs& other_jobs : kWaysToLearn)
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            SCOPED_TRACE(other_jobs.name);
+            CancelledService service(seed, other_jobs.old_nodes);
+            Simulator& w = service.w;
+            service.isolate_holder();
+            service.mute(true);  // not heard until the other jobs are
+            service.cancel_before(other_jobs);
+            service.mute(false);
+            w.run(w.settings.cancel);
+            EXPECT_EQ(w.running("req-000001"), 0) << w.story();
+            EXPECT_EQ(w.running("req-000002"), 2) << w.story();
+            w.heal_all();
+            w.run(20 * kSecond);
+            EXPECT_RULES(w);
+        }
+}
+
+// A next holder that was still reading answered heartbeats without the stop.
+TEST(CancelledBeforeManyFinishedJobs, IsStoppedByANextHolderThatIsStillReading) {
+    const OtherJobs& other_jobs = kWaysToLearn.front();  // with the others the next holder is there too soon
+    for (const std::uint64_t seed : {4, 5, 6}) {
+        CancelledService service(seed, other_jobs.old_nodes);
+        Simulator& w = service.w;
+        const std::string shard = w.owner_at(service.holder)->shard();
+        w.refuse(service.holder, true);
+        service.cancel_before(other_jobs);
+        const auto taken = [&] {
+            for (int i = 0; i < w.node_count(); ++i)
+                if (const ShardOwner* o = w.node(i)->owner(shard); i != service.holder && o && !o->active())
+                    return true;
+            return false;
+        };
+        for (int i = 0; i < 10'000 && !taken(); ++i) w.run(kMillisecond);
+        ASSERT_TRUE(taken()) << w.story();
+        ASSERT_EQ(w.running("req-000001"), 2) << w.story();
+        w.state().set_down(true, w.now());
+        w.run(9 * kSecond);
+        EXPECT_EQ(w.running("req-000001"), 0) << w.story();
+        w.state().set_down(false, w.now());
+        w.refuse(service.holder, false);
+        w.heal_all();
+        w.run(10 * kSecond);
+        EXPECT_RULES(w);
+    }
+}
+
 }  // namespace
 }  // namespace cottonway::test
