--- a/src/api/heartbeat_router.cpp
+++ b/src/api/heartbeat_router.cpp
@@ -25,7 +25,7 @@
                                  const StateCache& cache, const MembershipLease& membership_lease,
                                  const ShardAssignment& assignment, const LeaderElection& election,
                                  MachineAllocator& machine_allocator, PeerDirectory& peers,
-                                 permission::Counters& decisions)
+                                 JobArchiver& history, permission::Counters& decisions)
     : runtime_(runtime),
       settings_(settings),
       feed_(feed),
@@ -35,6 +35,7 @@
       election_(election),
       machine_allocator_(machine_allocator),
       peers_(peers),
+      history_(history),
       decisions_(decisions),
       in_flight_(settings.peers.size()),
       started_(runtime.now()) {}
@@ -52,8 +53,9 @@
 /// The answer that renews a worker's lease, whoever decided on it. No task goes on by it whose job is known
 /// here to be over.
 Json HeartbeatRouter::renewal(const Report& r, std::uint64_t token, std::vector<Order> orders) const {
-    const auto missing = permission::missing_stops(
-        r, orders, [this](const std::string& job) { return cache_.jobs.over(job); });
+    const auto missing = permission::missing_stops(r, orders, [this](const std::string& job) {
+        return cache_.jobs.recorded_as_cancelled(job) || cache_.jobs.finality(job) == JobFinality::Finished;
+    });
     if (!missing.empty()) {
         decisions_.violation();
         const Order& first = missing.front();
@@ -204,7 +206,7 @@
 }
 
 permission::Decision HeartbeatRouter::may_renew_on_behalf(const Report& r, const Block& block,
-                                                          Revision token) const {
+                                                          Revision token) {
     const Micros now = runtime_.now();
     const Block::Machine* machine = block.find(r.machine);
     const auto proxied = proxied_workers_.find(r.machine);
@@ -216,6 +218,7 @@
     evidence.former_promises_over = now - started_ > kForgotten * with_drift(settings_.lease);
     evidence.relinquished = proxied != proxied_workers_.end() && now < proxied->second.refused_until;
     evidence.machine_listed = machine && !machine->retired;
+    evidence.jobs_known = history_.knows_jobs_of(r);
     evidence.token = token;
     evidence.token_seen = r.token;
     return permission::renewal_on_behalf(evidence);
--- a/src/api/heartbeat_router.hpp
+++ b/src/api/heartbeat_router.hpp
@@ -9,6 +9,7 @@
 
 #include "allocation/machine_allocator.hpp"
 #include "api/responses.hpp"
+#include "cluster/job_archiver.hpp"
 #include "cluster/peer_directory.hpp"
 
 namespace cottonway {
@@ -18,7 +19,7 @@
     HeartbeatRouter(Runtime& runtime, const Settings& settings, const ChangeFeed& feed,
                     const StateCache& cache, const MembershipLease& membership_lease,
                     const ShardAssignment& assignment, const LeaderElection& election,
-                    MachineAllocator& machine_allocator, PeerDirectory& peers,
+                    MachineAllocator& machine_allocator, PeerDirectory& peers, JobArchiver& history,
                     permission::Counters& decisions);
 
     void report(const std::string& bytes, ApiResponder respond);
@@ -44,7 +45,7 @@
     bool lease_is_valid() const;
     std::optional<ApiResponse> answer(ShardOwner& owner, const Report& r) const;
     Json renewal(const Report& r, std::uint64_t token, std::vector<Order> orders) const;
-    permission::Decision may_renew_on_behalf(const Report& r, const Block& block, Revision token) const;
+    permission::Decision may_renew_on_behalf(const Report& r, const Block& block, Revision token);
     void unknown_machine(const Report& r, ApiResponder respond);
     void lease(const Report& r, const ApiResponder& respond);
     void help(const Report& r, const Block& block, const std::string& bytes, ApiResponder respond);
@@ -61,6 +62,7 @@
     const LeaderElection& election_;
     MachineAllocator& machine_allocator_;
     PeerDirectory& peers_;
+    JobArchiver& history_;
     permission::Counters& decisions_;
     std::unordered_map<std::string, ProxiedWorker> proxied_workers_;
     std::set<std::string> probing_;  // machines in no block that are being called
--- a/src/cache/change_feed.cpp
+++ b/src/cache/change_feed.cpp
@@ -45,6 +45,7 @@
     store_.list(
         keys::root, [this](const std::string& key) { return reader_.go_on_after(key); },
         [this, seen](const Entry& e) {
+            reader_.on_watermark(e.store_revision);
             if (reader_.go_on_after(e.key) != e.key) return;  // need not be read
             seen->insert(e.key);
             reader_.take(e.key, &e.value, e.mod_revision);
@@ -59,6 +60,7 @@
                          load_.took / kMillisecond);
             reader_.on_resync_end(*seen, r.store_revision);
             store_revision_ = r.store_revision;
+            reader_.on_watermark(store_revision_);
             loaded_ = true;
             look();
         });
@@ -89,6 +91,7 @@
             }
         }
         store_revision_ = std::max(store_revision_, *store_revision);
+        reader_.on_watermark(store_revision_);
         looked(sent);
         runtime_.after(std::max<Micros>(sent + every_ - runtime_.now(), 0), [this] { look(); });
     });
--- a/src/cache/change_feed.hpp
+++ b/src/cache/change_feed.hpp
@@ -25,6 +25,8 @@
         virtual std::string go_on_after(const std::string& key) = 0;
         /// Everything has been read: what is not among `seen` is not there as of `ledger`.
         virtual void on_resync_end(const std::set<std::string>& seen, Revision store_revision) = 0;
+        /// No record as of before this revision will be taken any more.
+        virtual void on_watermark(Revision store_revision) = 0;
     };
     ChangeFeed(Runtime& runtime, StoreClient& store, const Settings& settings, Reader& reader);
 
--- /dev/null
+++ b/src/cache/finished_jobs.cpp
@@ -0,0 +1,32 @@
+#include "cache/finished_jobs.hpp"
+
+namespace cottonway {
+
+namespace {
+constexpr std::size_t kVisitedPerInsertion = 4;  // more than one, so that the capacity is reached again
+}  // namespace
+
+void FinishedJobs::remember(const std::string& ref, const JobView& view) {
+    if (const JobView* known = views_.find(ref); known && !known->superseded_by(view)) return;
+    views_.put(ref, view);
+    evict(kVisitedPerInsertion);
+}
+
+void FinishedJobs::set_watermark(Revision watermark) {
+    if (watermark <= watermark_) return;
+    watermark_ = watermark;
+    evict(views_.size());
+}
+
+void FinishedJobs::evict(std::size_t most_visited) {
+    for (; most_visited > 0 && views_.size() > capacity_; --most_visited) {
+        const auto& [name, view] = views_.oldest();
+        const std::string ref = name;
+        if (view.mod_revision > watermark_)
+            views_.touch(ref);
+        else
+            views_.erase(ref);
+    }
+}
+
+}  // namespace cottonway
--- a/src/cache/job_cache.cpp
+++ b/src/cache/job_cache.cpp
@@ -7,28 +7,12 @@
 namespace cottonway {
 
 namespace {
-constexpr std::size_t kMaxViews = 20'000;
 constexpr Micros kWeighGuarantees = 100 * kMillisecond;
-}  // namespace
-
-JobView JobView::of(const Json& record, Revision mod_revision) {
-    JobView v;
-    const auto stage = wire::text(record, "s");
-    v.stage = stage == "done" ? Stage::Done : stage == "cancelled" ? Stage::Cancelled : Stage::Queued;
-    v.tasks = static_cast<int>(wire::count(record, "k").value_or(0));
-    v.done = static_cast<int>(wire::count(record, "fd").value_or(0));
-    v.running = v.final() ? 0 : static_cast<int>(wire::count(record, "fr").value_or(0));
-    v.mod_revision = mod_revision;
-    v.ended_ms = static_cast<std::int64_t>(wire::count(record, "end").value_or(0));
-    return v;
-}
 
-JobView JobView::as_cancelled() const {
-    JobView v = *this;
-    v.stage = Stage::Cancelled;
-    v.running = 0;
-    return v;
+void keep_newest(JobView& view, const JobView& other) {
+    if (view.superseded_by(other)) view = other;
 }
+}  // namespace
 
 std::vector<Condition> JobCache::as_known(const std::string& ref, RecordLocation place, Revision mod_revision,
                                           Revision legacy_revision) {
@@ -56,20 +40,20 @@
             live->second.legacy_revision = std::max(live->second.legacy_revision, mod_revision);
         return false;
     }
-    const JobView* old = known(ref);
-    // News of our own earlier writes may come after their results: what is older than known is dropped.
-    if (old && old->mod_revision > mod_revision) return false;
+    if (outdated(ref, place, view)) return false;
     if (view.final()) dependency_graph_.over(ref, view.stage == Stage::Done, view.ended_ms);
     guarantees_due_ = true;
+    lost_.erase(ref);
     const Json* spec = wire::find(value, "d");
     if (!spec || view.stage == Stage::Done) {
         live_.erase(ref);
-        lost_.erase(ref);
+        remember(ref, view);
     } else {
-        lost_.erase(ref);
         auto [it, added] = live_.try_emplace(ref);
         LiveJob& job = it->second;
         if (added) {
+            if (const JobView* read = finished_.find(ref)) job.view = *read;
+            finished_.forget(ref);
             const auto submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
             job.since_ms = static_cast<std::int64_t>(
                 wire::number(value, "go").value_or(static_cast<double>(submitted_ms)));
@@ -108,11 +92,19 @@
         job.running = view.running;
         job.cancelled = view.stage == Stage::Cancelled;
         job.backing_off = wire::flag(value, "er").value_or(false);
+        keep_newest(job.view, view);
     }
-    if (!old || old->mod_revision < mod_revision) remember(ref, view);
     return true;
 }
 
+/// News of our own earlier writes may come after their results, and a record that was read may have been
+/// overtaken by the news: what is older than known is dropped.
+bool JobCache::outdated(const std::string& ref, RecordLocation place, const JobView& view) const {
+    if (const JobView* old = known(ref)) return old->mod_revision > view.mod_revision;
+    // All that is live as of the watermark is known, so this one has ended since.
+    return !reading_ && place == RecordLocation::Active && !view.final() && view.mod_revision <= watermark_;
+}
+
 bool JobCache::take_part(const std::string& ref, std::size_t part, const Json* value, Revision mod_revision) {
     auto job = live_.find(ref);
     if (job == live_.end()) return false;
@@ -177,40 +169,50 @@
 }
 
 void JobCache::remember(const std::string& ref, const JobView& view) {
-    const LiveJob* live = find(ref);
-    if (!view.final() && (!live || live->mod_revision > view.mod_revision)) return;
-    auto it = views_.find(ref);
-    if (it != views_.end()) {
-        const JobView& old = it->second.first;
-        if (old.mod_revision > view.mod_revision || (old.final() && !view.final())) return;
-        it->second.first = view;
-        recent_.splice(recent_.begin(), recent_, it->second.second);
-        return;
-    }
-    recent_.push_front(ref);
-    views_.emplace(ref, std::pair(view, recent_.begin()));
-    if (views_.size() > kMaxViews) {
-        views_.erase(recent_.back());
-        recent_.pop_back();
+    if (auto live = live_.find(ref); live != live_.end())
+        keep_newest(live->second.view, view);
+    else if (view.final())
+        finished_.remember(ref, view);
+}
+
+void JobCache::set_watermark(Revision watermark) {
+    watermark_ = std::max(watermark_, watermark);
+    finished_.set_watermark(watermark);
+}
+
+JobFinality JobCache::finality(const std::string& ref) const {
+    if (const LiveJob* job = find(ref)) {
+        if (job->cancelled || job->view.final()) return JobFinality::Finished;
+        if (dependency_graph_.dependency_status(ref).cancelled_by_dependency) return JobFinality::Finished;
+        // Its record is gone, and what became of it is being read.
+        return lost_.count(ref) > 0 ? JobFinality::Unknown : JobFinality::Unfinished;
     }
+    return finished_.find(ref) ? JobFinality::Finished : JobFinality::Unknown;
 }
 
-bool JobCache::over(const std::string& ref) const {
-    const JobView* view = known(ref);
-    return (view && view->final()) || dependency_graph_.dependency_status(ref).cancelled_by_dependency;
+bool JobCache::recorded_as_cancelled(const std::string& ref) const {
+    const LiveJob* job = find(ref);
+    return job && wire::text(job->record, "s") == "cancelled";
 }
 
 std::vector<Order> JobCache::stops_for_finished_jobs(const Report& report) const {
     std::vector<Order> orders;
     for (const auto& t : report.tasks)
-        if (t.phase != Phase::Exited && over(t.job))
+        if (t.phase != Phase::Exited && finality(t.job) == JobFinality::Finished)
             orders.push_back({OrderKind::Stop, t.job, t.task, t.attempt, 0});
     return orders;
 }
 
+std::vector<std::string> JobCache::unknown_jobs(const Report& report) const {
+    std::vector<std::string> unknown;
+    for (const auto& t : report.tasks)
+        if (t.phase != Phase::Exited && finality(t.job) == JobFinality::Unknown) unknown.push_back(t.job);
+    return unknown;
+}
+
 const JobView* JobCache::known(const std::string& ref) const {
-    auto it = views_.find(ref);
-    return it == views_.end() ? nullptr : &it->second.first;
+    const LiveJob* job = find(ref);
+    return job ? &job->view : finished_.find(ref);
 }
 
 DependencyGraph::Known JobCache::fate(const std::string& ref) const {
@@ -231,7 +233,7 @@
     if (s.cancelled_by_dependency && !job.cancelled) {
         job.cancelled = true;
         spdlog::info("job {}: cancelled with {}", ref, dependency_graph_.cancelled_with(ref));
-        if (const JobView* view = known(ref)) remember(ref, view->as_cancelled());
+        keep_newest(job.view, job.view.as_cancelled());
     }
     if (s.open && !std::exchange(job.open, true)) {
         if (s.since_ms > 0) job.since_ms = std::max(job.since_ms, s.since_ms);
--- a/src/cache/job_cache.hpp
+++ b/src/cache/job_cache.hpp
@@ -1,41 +1,30 @@
 #pragma once
-// What is known of jobs: the records of those that are not over, and of any other that was asked after what a
-// poll needs. Holds state and decides nothing but how jobs stand that need one another.
+// What is known of jobs: the records of those that are not over, or whose tasks may still run, and what a
+// poll needs of the latest others. Holds state and decides nothing but how jobs stand that need one another.
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "cache/dependency_graph.hpp"
+#include "cache/finished_jobs.hpp"
+#include "cache/job_view.hpp"
 #include "config/settings.hpp"
 #include "kvstore/records.hpp"
 
 namespace cottonway {
 
-/// What is known of a job's record: enough to answer a poll once its mark is confirmed.
-struct JobView {
-    Stage stage = Stage::Queued;
-    int tasks = 0;
-    int done = 0;
-    int running = 0;
-    Revision mod_revision = 0;
-    std::int64_t ended_ms = 0;  // by the time of day, if its record tells
-
-    static JobView of(const Json& record, Revision mod_revision);
-    /// What users are told of it once one before it is cancelled, whatever its record says.
-    JobView as_cancelled() const;
-    bool final() const { return stage != Stage::Queued; }
-};
+/// Whether a job is over, by what this process knows. Nothing may be allowed because of `Unknown`.
+enum class JobFinality : std::uint8_t { Unknown, Unfinished, Finished };
 
 /// A job that is not over, as the store has it.
 struct LiveJob {
     Json record;
+    JobView view;  // at least as new as the record
     Revision mod_revision = 0;
     RecordLocation place = RecordLocation::Job;
     /// Under c/active/: the mark of what stands under c/job/ besides, 0: nothing. That is a record of old
@@ -67,7 +56,9 @@
 
 class JobCache {
   public:
-    explicit JobCache(const Settings& settings) : settings_(settings) {}
+    explicit JobCache(const Settings& settings,
+                      std::size_t finished_capacity = FinishedJobs::kDefaultCapacity)
+        : settings_(settings), finished_(finished_capacity) {}
 
     /// News of a job's record. False if it is older than what is known, or counts for nothing.
     bool take(const std::string& ref, RecordLocation place, const Json& value, Revision mod_revision,
@@ -100,16 +91,24 @@
 
     const std::map<std::string, LiveJob>& live() const { return live_; }
     const LiveJob* find(const std::string& ref) const;
-    /// Remembers what was read of a job; what was asked after long ago is forgotten. What is known only
-    /// grows: an answer that the news has overtaken brings nothing back, and what is not final is known by
-    /// the news alone, since it was read as of that moment only.
+    /// Takes in what was read of a job. What is known only grows: an answer that the news has overtaken
+    /// brings nothing back, and what is not final is known by the news alone, since it was read as of that
+    /// moment only.
     void remember(const std::string& ref, const JobView& view);
+    /// The newest view of a job; null: nothing is known of it, or no more.
     const JobView* known(const std::string& ref) const;
-    std::size_t views() const { return views_.size(); }
-    /// Whether the job is known to be over, by its own record or with one that it needs.
-    bool over(const std::string& ref) const;
+    std::size_t views() const { return live_.size() + finished_.size(); }
+    /// No record as of before this revision will be heard of any more.
+    void set_watermark(Revision watermark);
+    /// Whether the job is over, by its own record or with one that it needs.
+    JobFinality finality(const std::string& ref) const;
+    /// Whether the stored record of the job, if it is live, says that it is cancelled: what `finality` must
+    /// agree with.
+    bool recorded_as_cancelled(const std::string& ref) const;
     /// Orders to stop what a worker reports of jobs that are over, at once.
     std::vector<Order> stops_for_finished_jobs(const Report& report) const;
+    /// Jobs of which a worker reports tasks that may run, and of which it is not known whether they are over.
+    std::vector<std::string> unknown_jobs(const Report& report) const;
 
     DependencyGraph& dependency_graph() { return dependency_graph_; }
     const DependencyGraph& dependency_graph() const { return dependency_graph_; }
@@ -129,17 +128,18 @@
 
   private:
     void weigh_guarantees();
+    bool outdated(const std::string& ref, RecordLocation place, const JobView& view) const;
 
     const Settings& settings_;
     std::map<std::string, LiveJob> live_;
+    FinishedJobs finished_;  // none of them live
+    Revision watermark_ = 0;
     std::set<std::string> lost_;
     bool reading_ = false;
     DependencyGraph dependency_graph_;
     std::map<std::pair<std::string, std::string>, Micros> image_seen_;  // image and shard
     bool guarantees_due_ = true;
     Micros guarantees_at_ = 0;
-    std::list<std::string> recent_;
-    std::unordered_map<std::string, std::pair<JobView, std::list<std::string>::iterator>> views_;
 };
 
 }  // namespace cottonway
--- a/src/cache/state_cache.hpp
+++ b/src/cache/state_cache.hpp
@@ -42,6 +42,7 @@
     void on_resync_begin() override;
     std::string go_on_after(const std::string& key) override;
     void on_resync_end(const std::set<std::string>& seen, Revision store_revision) override;
+    void on_watermark(Revision store_revision) override { jobs.set_watermark(store_revision); }
     /// Whether jobs that are not over stand under c/active/ only, so that nobody reads those under c/job/.
     bool history_apart() const { return history_ == History::Apart; }
     /// Whether no record of old form can be added any more.
--- a/src/cluster/job_archiver.cpp
+++ b/src/cluster/job_archiver.cpp
@@ -63,20 +63,33 @@
 /// Their records under c/active/ are gone, and what became of them was not in the news.
 void JobArchiver::look_for_lost() {
     const std::set<std::string> lost = cache_.jobs.lost();
-    for (const auto& ref : lost) {
-        if (reading_.size() >= kMaxReading) return;
-        if (!reading_.insert(ref).second) continue;
-        store_.read(keys::job + ref, [this, ref](const ReadResult& r) {
-            const bool final = r.ok && r.found && !wire::find(r.value, "d");
-            if (final) cache_.take(keys::job + ref, &r.value, r.mod_revision);
-            if (final || !r.ok) return runtime_.after(kSecond, [this, ref] { reading_.erase(ref); });
-            // It may have been admitted while everything was read.
-            store_.read(keys::active + ref, [this, ref](const ReadResult& a) {
-                if (a.ok && a.found) cache_.take(keys::active + ref, &a.value, a.mod_revision);
-                runtime_.after(kSecond, [this, ref] { reading_.erase(ref); });
-            });
+    for (const auto& ref : lost) read_outcome(ref, reading_lost_);
+}
+
+bool JobArchiver::knows_jobs_of(const Report& report) {
+    const auto unknown = cache_.jobs.unknown_jobs(report);
+    for (const auto& ref : unknown)
+        if (feed_.loaded() && read_outcome(ref, reading_unknown_))
+            spdlog::info("event=job_unknown job={} machine={} token={}", ref, report.machine, report.token);
+    return unknown.empty();
+}
+
+/// What became of a job whose record is not under c/active/, or not known to be there.
+bool JobArchiver::read_outcome(const std::string& ref, std::set<std::string>& reading) {
+    if (reading.size() >= kMaxReading || !reading.insert(ref).second) return false;
+    store_.read(keys::job + ref, [this, ref, &reading](const ReadResult& r) {
+        const bool final = r.ok && r.found && !wire::find(r.value, "d");
+        if (final) cache_.take(keys::job + ref, &r.value, r.mod_revision);
+        // One that goes on and is not known yet will be in the news.
+        if (final || !r.ok || !cache_.jobs.find(ref))
+            return runtime_.after(kSecond, [&reading, ref] { reading.erase(ref); });
+        // It may have been admitted while everything was read.
+        store_.read(keys::active + ref, [this, ref, &reading](const ReadResult& a) {
+            if (a.ok && a.found) cache_.take(keys::active + ref, &a.value, a.mod_revision);
+            runtime_.after(kSecond, [&reading, ref] { reading.erase(ref); });
         });
-    }
+    });
+    return true;
 }
 
 /// The gates of others rest on these.
--- a/src/cluster/job_archiver.hpp
+++ b/src/cluster/job_archiver.hpp
@@ -28,11 +28,16 @@
     /// to go on. `drop`: what is left over of those that are over is dropped in a quiet moment; by the holder
     /// of their shard. Calls back with whether everything is known now.
     void prove(const std::vector<std::string>& refs, bool drop, std::function<void(bool known)> done);
+    /// Whether it is known of each task that may run by a report if its job is over. What is not is read, so
+    /// that it is known soon.
+    bool knows_jobs_of(const Report& report);
     /// Called ten times a second.
     void tick();
 
   private:
     void look_for_lost();
+    /// Begins to read what became of a job; false: that is under way, or too much else is.
+    bool read_outcome(const std::string& ref, std::set<std::string>& reading);
     void prove_needed();
     void drop_stale_records();
     void set_apart();
@@ -44,7 +49,8 @@
     ChangeFeed& feed_;
     StateCache& cache_;
     const LeaderElection& election_;
-    std::set<std::string> reading_;
+    std::set<std::string> reading_lost_;
+    std::set<std::string> reading_unknown_;  // jobs of reported tasks
     std::vector<Condition> stale_records_;
     bool proving_ = false;
     bool writing_ = false;
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -41,7 +41,7 @@
       quota_allocator_(runtime, store_, settings_, feed_, cache_, assignment_, election_, machine_allocator_),
       capacity_broker_(runtime, cache_, assignment_, machine_allocator_, quota_allocator_, peers_),
       heartbeat_router_(runtime, settings_, feed_, cache_, membership_lease_, assignment_, election_,
-                        machine_allocator_, peers_, decisions_),
+                        machine_allocator_, peers_, history_, decisions_),
       job_service_(runtime, store_, settings_, feed_, cache_, assignment_, peers_, history_) {}
 
 Controller::~Controller() {
--- a/src/kvstore/store_client.cpp
+++ b/src/kvstore/store_client.cpp
@@ -202,7 +202,7 @@
             if (!key || !mod_revision) return done(ListResult{});
             last = *key;
             const Json* data = wire::find(p, "data");
-            each(Entry{*key, data ? *data : Json(), *mod_revision});
+            each(Entry{*key, data ? *data : Json(), *mod_revision, result->store_revision});
         }
         if (wire::flag(r.body, "has_next").value_or(false) && !last.empty()) {
             const std::string next = go_on(last);
--- a/src/kvstore/store_client.hpp
+++ b/src/kvstore/store_client.hpp
@@ -64,6 +64,7 @@
     std::string key;
     Json value;
     Revision mod_revision = 0;
+    Revision store_revision = 0;  // when the list was begun
 };
 
 struct ReadResult {
--- a/src/shard/command_dispatch.cpp
+++ b/src/shard/command_dispatch.cpp
@@ -27,6 +27,7 @@
     evidence.store_read_valid = context_.has_valid_lease();
     evidence.session_over = report.session < m.min_session;
     evidence.machine_leaving = m.leaving;
+    evidence.jobs_known = active_ || context_.knows_jobs_of(report);
     evidence.token = token(m);
     evidence.token_seen = report.token;
     const permission::Decision decision = permission::renewal_by_holder(evidence);
--- a/src/shard/permission.cpp
+++ b/src/shard/permission.cpp
@@ -38,6 +38,8 @@
             return "lease_relinquished";
         case Refusal::JobOver:
             return "job_over";
+        case Refusal::JobUnknown:
+            return "job_unknown";
         case Refusal::BoundByOtherHolder:
             return "bound_by_other_holder";
         case Refusal::CallInFlight:
@@ -54,6 +56,7 @@
     if (e.token_seen > e.token) return e.machine_leaving ? Refusal::MachineLeaving : Refusal::HigherTokenSeen;
     if (!e.store_read_valid) return Refusal::StoreReadTooOld;
     if (e.session_over) return Refusal::SessionOver;
+    if (!e.jobs_known) return Refusal::JobUnknown;
     return {};
 }
 
@@ -65,6 +68,7 @@
     if (e.relinquished) return Refusal::LeaseRelinquished;
     if (!e.machine_listed) return Refusal::MachineUnknown;
     if (e.token_seen > e.token) return Refusal::HigherTokenSeen;
+    if (!e.jobs_known) return Refusal::JobUnknown;
     return {};
 }
 
--- a/src/shard/permission.hpp
+++ b/src/shard/permission.hpp
@@ -27,12 +27,13 @@
     PromisesUnknown,     // those of our former process may still hold
     LeaseRelinquished,   // promised to the holder
     JobOver,             // cancelled or done
+    JobUnknown,          // over or not, that is being read
     BoundByOtherHolder,  // which may have launched it
     CallInFlight,        // with this launch
     GangIncomplete,      // another task of the gang is not bound
     DirectCallPreferred  // the answer to a heartbeat is the second way
 };
-constexpr std::size_t kRefusals = 15;
+constexpr std::size_t kRefusals = 16;
 const char* name_of(Refusal v);
 
 /// Nothing: permitted.
@@ -43,6 +44,7 @@
     bool store_read_valid = false;
     bool session_over = false;
     bool machine_leaving = false;
+    bool jobs_known = true;        // of each task that may run, whether its job is over
     std::uint64_t token = 0;       // ours
     std::uint64_t token_seen = 0;  // by the worker
 };
@@ -56,6 +58,7 @@
     bool former_promises_over = false;
     bool relinquished = false;
     bool machine_listed = false;   // and not retired
+    bool jobs_known = true;        // of each task that may run, whether its job is over
     std::uint64_t token = 0;       // of the holder
     std::uint64_t token_seen = 0;  // by the worker
 };
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -187,6 +187,32 @@
         }
 }
 
+// An attempt that a late launch had started ran on once the final record of its job had been forgotten.
+TEST(CancelledBeforeManyFinishedJobs, IsReadAgainBeforeALeaseIsRenewedForWhatIsLeftOfIt) {
+    for (const OtherJobs& other_jobs : kWaysToLearn)
+        for (const std::uint64_t seed : {7, 8}) {
+            SCOPED_TRACE(other_jobs.name);
+            CancelledService service(seed, other_jobs.old_nodes);
+            Simulator& w = service.w;
+            service.isolate_holder();
+            service.mute(true);  // not heard until the other jobs are
+            cancel_beside(w, service.holder, "req-000001");
+            const Json final_record{{"s", "cancelled"}, {"dom", "loom-0"}, {"k", 2}, {"fd", 0}};
+            Json writes = Json::array({Json{{"write", keys::job + "req-000001"}, {"data", final_record}}});
+            writes.push_back(Json{{"drop", keys::active + "req-000001"}});
+            const Json change{{"when", Json::array()}, {"then", writes}};
+            ASSERT_EQ(w.state().handle("POST", "/commit", change, w.now()).status, 200);
+            finish_other_jobs(w, other_jobs.as_news);
+            service.mute(false);
+            w.run(w.settings.cancel);
+            EXPECT_EQ(w.running("req-000001"), 0) << w.story();
+            EXPECT_EQ(w.starts("req-000002"), 2) << "its tasks keep their leases\n" << w.story();
+            w.heal_all();
+            w.run(20 * kSecond);
+            EXPECT_RULES(w);
+        }
+}
+
 // A next holder that was still reading answered heartbeats without the stop.
 TEST(CancelledBeforeManyFinishedJobs, IsStoppedByANextHolderThatIsStillReading) {
     const OtherJobs& other_jobs = kWaysToLearn.front();  // with the others the next holder is there too soon
--- a/tests/permission_test.cpp
+++ b/tests/permission_test.cpp
@@ -52,6 +52,9 @@
     EXPECT_EQ(renewal_by_holder(e), Refusal::HigherTokenSeen);
     e.machine_leaving = true;
     EXPECT_EQ(renewal_by_holder(e), Refusal::MachineLeaving);
+    e = entitled_holder();
+    e.jobs_known = false;
+    EXPECT_EQ(renewal_by_holder(e), Refusal::JobUnknown);
 }
 
 TEST(Permission, NobodyRenewsOnBehalfOfAHolderAgainstAPromiseOrAHigherToken) {
@@ -67,6 +70,7 @@
     EXPECT_EQ(refused([](auto& e) { e.former_promises_over = false; }), Refusal::PromisesUnknown);
     EXPECT_EQ(refused([](auto& e) { e.relinquished = true; }), Refusal::LeaseRelinquished);
     EXPECT_EQ(refused([](auto& e) { e.machine_listed = false; }), Refusal::MachineUnknown);
+    EXPECT_EQ(refused([](auto& e) { e.jobs_known = false; }), Refusal::JobUnknown);
     EXPECT_EQ(refused([](auto& e) { e.token_seen = 8; }), Refusal::HigherTokenSeen);
 }
 
