--- a/src/fakes/fakes.cpp
+++ b/src/fakes/fakes.cpp
@@ -411,8 +411,9 @@
 
 std::string Cloud::rent_one(const std::string& type_name, const std::string& zone, bool spot, Micros now,
                             Micros boot) {
-    char name[32];
-    std::snprintf(name, sizeof name, "n-%06d", next_++);
+    char number[16];
+    std::snprintf(number, sizeof number, "%06d", next_++);
+    const std::string name = name_prefix + number;
     Machine m;
     m.info = {name, "", type_name, zone, spot, CloudState::Starting, 0};
     m.rented = now;
--- a/src/fakes/fakes.hpp
+++ b/src/fakes/fakes.hpp
@@ -182,6 +182,7 @@
     std::function<void(const std::string&)> on_delete;
     int capacity = 1000;
     bool down = false;
+    std::string name_prefix = "n-";  // of machines
     /// A list is as old as this, or up to twice as old: new machines are missing until then, and those that
     /// are gone still appear. Once listed, a machine stays listed until it is gone.
     Micros list_lag = 0;
--- a/src/kvstore/store_client.hpp
+++ b/src/kvstore/store_client.hpp
@@ -117,6 +117,7 @@
 
     /// From now on values that are too large are stored in pieces. Only once every controller reads them.
     void use_pieces() { in_pieces_ = true; }
+    bool uses_pieces() const { return in_pieces_; }
     chunks::ChunkStore& chunk_store() { return chunk_store_; }
 
     /// News of a change: those of others use up the same budget.
--- a/src/shard/job.hpp
+++ b/src/shard/job.hpp
@@ -38,6 +38,9 @@
     int errors = 0;
 };
 
+/// What the binding of one task to a machine of its own takes in a stored part, with a name of 8 bytes.
+constexpr std::size_t kUsualBindingBytes = 22;
+
 /// How the admission of a job went: with the record if it is durable now.
 struct Admission {
     CommitStatus status = CommitStatus::Unavailable;
@@ -85,12 +88,15 @@
 
     /// Tasks are stored in parts, since a value is limited; part 0 is the job record itself.
     struct Part {
+        /// Whether the bindings of so many tasks leave no room for another one.
+        bool is_full(std::size_t part_tasks) const { return bytes >= part_tasks * kUsualBindingBytes; }
+
         Revision mod_revision = 0;
         bool dirty = false;
         bool in_flight = false;
         bool reloading = false;
         int binding = 0;        // tasks whose bind waits for this part to be written
-        std::size_t bytes = 0;  // of bindings, when written
+        std::size_t bytes = 0;  // of bindings, when written, at most
         Micros dirty_since = 0;
         Micros not_before = 0;
     };
--- a/src/shard/job_records.cpp
+++ b/src/shard/job_records.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kUsualBinding = 22;
 constexpr Micros kMoveEvery = kSecond;
 constexpr Micros kDropEvery = 500 * kMillisecond;
 constexpr std::size_t kManyLeftOver = 200;
@@ -29,7 +28,7 @@
 std::size_t part_tasks_for(std::size_t value_bytes, std::size_t spec_bytes) {
     const std::size_t room = value_bytes * 23 / 25;
     const std::size_t left = room > spec_bytes + 100 ? room - spec_bytes - 100 : 0;
-    return std::clamp<std::size_t>(left / (kUsualBinding + 1), 16, 4096);
+    return std::clamp<std::size_t>(left / (kUsualBindingBytes + 1), 16, 4096);
 }
 
 std::string ShardOwner::key_of(const Job& job, std::size_t part) const {
--- a/src/shard/scheduler.cpp
+++ b/src/shard/scheduler.cpp
@@ -30,8 +30,7 @@
 constexpr double kIdleStarts = 600;
 constexpr Micros kSurplusAfter = 5 * kSecond;  // machines that are being emptied are left alone until then
 constexpr Micros kPreemptAfter = 100 * kMillisecond;
-constexpr int kPreemptions = 20;          // in one pass
-constexpr std::size_t kBindingRoom = 20;  // bytes a task that a part has room for
+constexpr int kPreemptions = 20;  // in one pass
 }  // namespace
 
 std::map<std::string, int> Job::zones() const {
@@ -623,6 +622,7 @@
     bool tried_relayed = false, tried_surplus = !takes_surplus(job);
     const bool asks_surplus = !tried_surplus;
     const bool ready_only = job.holding_out = waits_for_image(job);
+    const bool pieces = context_.store().uses_pieces();
     while (job.first_idle < job.slots.size() && job.slots[job.first_idle].state != SlotState::Idle)
         ++job.first_idle;
     for (std::size_t i = job.first_idle; i < job.slots.size(); ++i) {
@@ -636,8 +636,8 @@
         const Machine* better = of_.destination(job, static_cast<int>(i));
         if (better && better->seq == 0 && now - better->known_since < 2 * context_.settings().report_every)
             continue;
-        // A part must not outgrow its value; the next ones have room.
-        if (job.part_of(static_cast<int>(i)).bytes > job.part_tasks * kBindingRoom) {
+        // A part must not outgrow its value, unless that may be stored in pieces; the next ones have room.
+        if (!pieces && job.part_of(static_cast<int>(i)).is_full(job.part_tasks)) {
             i = (i / job.part_tasks + 1) * job.part_tasks - 1;
             continue;
         }
