--- a/src/allocation/machine_allocator.cpp
+++ b/src/allocation/machine_allocator.cpp
@@ -231,8 +231,8 @@
 
 void MachineAllocator::left(const std::string& machine) {
     forget_unallocated(machine);
-    returned_.insert(machine);
-    if (returned_.size() > kMaxReturned) returned_.erase(returned_.begin());  // names come in order
+    returned_.put(machine, {});
+    if (returned_.size() > kMaxReturned) returned_.erase(std::string(returned_.oldest().first));
 }
 
 bool MachineAllocator::spread_out() const {
--- a/src/allocation/machine_allocator.hpp
+++ b/src/allocation/machine_allocator.hpp
@@ -4,10 +4,11 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "base/recency_map.hpp"
 #include "cluster/leader_election.hpp"
 #include "cluster/shard_assignment.hpp"
 
@@ -44,7 +45,7 @@
     void left(const std::string& machine);
     /// Whether the machine is known to be gone for good. What still tells of it, a late report or a list, is
     /// old: leased again it would count as room until its silence is noticed.
-    bool returned(const std::string& machine) const { return returned_.count(machine) > 0; }
+    bool returned(const std::string& machine) const { return returned_.find(machine) != nullptr; }
     /// Whether the machines are to be spread over the shards of all controllers. One owner of everything
     /// places best, as long as it can keep up with the workers' reports.
     bool spread_out() const;
@@ -111,7 +112,7 @@
     const PeerDirectory& peers_;
     std::map<std::string, Edits> edits_;
     std::map<std::string, UnallocatedMachine> unallocated_;
-    std::set<std::string> returned_;  // the latest names
+    RecencyMap<std::monostate> returned_;  // the latest names
     Micros allocated_at_ = 0;
     Micros split_at_ = 0;
     std::uint64_t block_counter_ = 0;
