--- a/src/api/heartbeat_router.cpp
+++ b/src/api/heartbeat_router.cpp
@@ -243,7 +243,9 @@
         if (!o || !o->active()) continue;
         for (std::size_t i = 0; i < peers_.count(); ++i) {
             if (in_flight_[i] > 0 || !cache_.membership.alive(settings_.peers[i].name)) continue;
-            const auto machines = o->machines_to_relinquish(i);
+            auto machines = o->machines_to_relinquish(i);
+            // Of a name that is cut short on its way another machine's promise would come back.
+            std::erase_if(machines, [](const auto& machine) { return !peer::name_fits(machine); });
             // Several messages, none longer than the version before reads.
             for (std::size_t from = 0; from < machines.size(); from += peer::kMaxMachines) {
                 const auto end = std::min(machines.size(), from + peer::kMaxMachines);
--- a/src/peer/messages.hpp
+++ b/src/peer/messages.hpp
@@ -16,6 +16,10 @@
 
 constexpr std::uint16_t kVersion = 1;
 constexpr std::size_t kNameSize = 48;
+/// Whether a name arrives as it is. A longer one is cut short, and must not be acted on.
+constexpr bool name_fits(std::string_view name) {
+    return name.size() < kNameSize;
+}
 constexpr std::size_t kMaxShards = 32;
 constexpr std::size_t kMaxTeams = 32;
 /// Machines in one message, so that it fits into a request's 64 KiB. What is about more takes several
