--- a/src/cache/change_feed.cpp
+++ b/src/cache/change_feed.cpp
@@ -119,7 +119,7 @@
     });
 }
 
-void commit_until_known(Runtime& runtime, StoreClient& store, ChangeFeed& feed, Change change,
+void commit_until_known(Runtime& runtime, StoreClient& store, ChangeFeed& feed, const Change& change,
                         std::function<void(const CommitResult&)> done, bool uncertain) {
     store.commit(change,
                  [&runtime, &store, &feed, change, done = std::move(done), uncertain](const CommitResult& r) {
--- a/src/cache/change_feed.hpp
+++ b/src/cache/change_feed.hpp
@@ -77,7 +77,7 @@
 /// conflict then tells that it was, or that it never will be. Taken for refused before its news is in, a
 /// split that was made would cost its machines their tasks, and a share that was given away would count here
 /// as well.
-void commit_until_known(Runtime& runtime, StoreClient& store, ChangeFeed& feed, Change change,
+void commit_until_known(Runtime& runtime, StoreClient& store, ChangeFeed& feed, const Change& change,
                         std::function<void(const CommitResult&)> done, bool uncertain = false);
 
 }  // namespace cottonway
--- a/src/cache/job_cache.cpp
+++ b/src/cache/job_cache.cpp
@@ -48,55 +48,63 @@
     if (!spec || view.stage == Stage::Done) {
         live_.erase(ref);
         remember(ref, view);
-    } else {
-        auto [it, added] = live_.try_emplace(ref);
-        LiveJob& job = it->second;
-        if (added) {
-            if (const JobView* read = finished_.find(ref)) job.view = *read;
-            finished_.forget(ref);
-            const auto submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
-            job.since_ms = static_cast<std::int64_t>(
-                wire::number(value, "go").value_or(static_cast<double>(submitted_ms)));
-            if (auto parsed = wire::parse_job(*spec).spec) {
-                if (!view.final())
-                    dependency_graph_.put(*parsed, submitted_ms,
-                                          [this](const auto& need) { return fate(need); });
-                job.open = dependency_graph_.dependency_status(ref).open;
-                job.team = parsed->team;
-                job.request = parsed->request;
-                job.image = parsed->image;
-                job.spot = parsed->spot;
-                job.rank = parsed->rank;
-                job.types = parsed->types;
-                job.zone = parsed->zone;
-                job.kind = parsed->kind;
-            }
-        }
-        // Cancelled with one before it, whatever its record says: nobody is told anything else any more.
-        if (!view.final() && dependency_graph_.dependency_status(ref).cancelled_by_dependency)
-            view = view.as_cancelled();
-        job.record = value;
-        job.mod_revision = mod_revision;
-        // What stood under c/job/ was dropped by the change that moved it.
-        if (place == RecordLocation::Active && job.place == RecordLocation::Job) {
-            job.legacy_revision = 0;
-            if (!reading_) job.moved = mod_revision;
-        }
-        job.place = place;
-        // Every change of it rests on there being no final record, so news of one proves that.
-        job.proven = place == RecordLocation::Job || !reading_;
-        job.shard = wire::text(value, "dom").value_or("");
-        if (view.running > 0) image_seen_[{job.image, job.shard}] = now;
-        job.tasks = view.tasks;
-        job.done = view.done;
-        job.running = view.running;
-        job.cancelled = view.stage == Stage::Cancelled;
-        job.backing_off = wire::flag(value, "er").value_or(false);
-        keep_newest(job.view, view);
+        return true;
     }
+    auto [job, added] = live_.try_emplace(ref);
+    if (added) describe(ref, job->second, value, *spec, view);
+    // Cancelled with one before it, whatever its record says: nobody is told anything else any more.
+    if (!view.final() && dependency_graph_.dependency_status(ref).cancelled_by_dependency)
+        view = view.as_cancelled();
+    update(job->second, place, value, view, now);
     return true;
 }
 
+/// What does not change of a live job.
+void JobCache::describe(const std::string& ref, LiveJob& job, const Json& value, const Json& spec,
+                        const JobView& view) {
+    if (const JobView* read = finished_.find(ref)) job.view = *read;
+    finished_.forget(ref);
+    const auto submitted_ms = static_cast<std::int64_t>(wire::number(value, "at").value_or(0));
+    job.since_ms =
+        static_cast<std::int64_t>(wire::number(value, "go").value_or(static_cast<double>(submitted_ms)));
+    const auto parsed = wire::parse_job(spec).spec;
+    if (!parsed) return;
+    if (!view.final())
+        dependency_graph_.put(*parsed, submitted_ms, [this](const auto& need) { return fate(need); });
+    job.open = dependency_graph_.dependency_status(ref).open;
+    job.team = parsed->team;
+    job.request = parsed->request;
+    job.image = parsed->image;
+    job.spot = parsed->spot;
+    job.rank = parsed->rank;
+    job.types = parsed->types;
+    job.zone = parsed->zone;
+    job.kind = parsed->kind;
+}
+
+/// What a newer record of a live job tells.
+void JobCache::update(LiveJob& job, RecordLocation place, const Json& value, const JobView& view,
+                      Micros now) {
+    job.record = value;
+    job.mod_revision = view.mod_revision;
+    // What stood under c/job/ was dropped by the change that moved it.
+    if (place == RecordLocation::Active && job.place == RecordLocation::Job) {
+        job.legacy_revision = 0;
+        if (!reading_) job.moved = view.mod_revision;
+    }
+    job.place = place;
+    // Every change of it rests on there being no final record, so news of one proves that.
+    job.proven = place == RecordLocation::Job || !reading_;
+    job.shard = wire::text(value, "dom").value_or("");
+    if (view.running > 0) image_seen_[{job.image, job.shard}] = now;
+    job.tasks = view.tasks;
+    job.done = view.done;
+    job.running = view.running;
+    job.cancelled = view.stage == Stage::Cancelled;
+    job.backing_off = wire::flag(value, "er").value_or(false);
+    keep_newest(job.view, view);
+}
+
 /// News of our own earlier writes may come after their results, and a record that was read may have been
 /// overtaken by the news: what is older than known is dropped.
 bool JobCache::outdated(const std::string& ref, RecordLocation place, const JobView& view) const {
--- a/src/cache/job_cache.hpp
+++ b/src/cache/job_cache.hpp
@@ -129,6 +129,9 @@
   private:
     void weigh_guarantees();
     bool outdated(const std::string& ref, RecordLocation place, const JobView& view) const;
+    void describe(const std::string& ref, LiveJob& job, const Json& value, const Json& spec,
+                  const JobView& view);
+    void update(LiveJob& job, RecordLocation place, const Json& value, const JobView& view, Micros now);
 
     const Settings& settings_;
     std::map<std::string, LiveJob> live_;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -7,10 +7,11 @@
 apt-get update -qq
 # shellcheck disable=SC2086
 DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $packages \
-    libgtest-dev librapidcheck-dev libglpk-dev clang-format shellcheck >/dev/null
+    libgtest-dev librapidcheck-dev libglpk-dev clang-format clang-tidy shellcheck >/dev/null
 find src tools tests -name '*.?pp' -print0 | xargs -0 clang-format --dry-run -Werror
 shellcheck tools/*.sh tests/*.sh .ci/run
 tools/check_includes.sh
+tools/check_tidy.sh
 sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)"
 cmake -S . -B target/tests -DCMAKE_BUILD_TYPE=Debug -DCOTTONWAY_TESTS=ON -DCOTTONWAY_SANITIZE=address,undefined
 cmake --build target/tests -j8
