--- a/src/shard/shard_owner.hpp
+++ b/src/shard/shard_owner.hpp
@@ -66,7 +66,7 @@
     virtual bool has_valid_lease() const = 0;
     /// Orders to stop what runs there although its job is over, as far as is known here.
     virtual std::vector<Order> stops_for_finished_jobs(const Report& report) const = 0;
-    /// Whether it is known of each task that may run there if its job is over; what is not is being read then.
+    /// Whether it is known of each task that may run there if its job is over; else that is read.
     virtual bool knows_jobs_of(const Report& report) = 0;
     virtual permission::Counters& decisions() = 0;
 
