Review: a case of a late copy that starts a task of a cancelled job

Cause: an attempt that is done is cleared 10 s after its launch was answered, under the same token, so a later copy of the command starts it again.

--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -443,6 +443,13 @@
                        });
 }
 
+void Stage::send_command(const std::string& machine, const Json& command, std::function<void(int)> done) {
+    for (auto& worker : workers_)
+        if (worker->worker().name() == machine)
+            user_client_->call(parse_endpoint(worker->worker().addr()), "POST", "/do", wire::encode(command),
+                               2 * kSecond, [done](const net::ClientReply& reply) { done(reply.status); });
+}
+
 void Stage::check_health(int i) {
     user_call(
         i, "GET", "/healthz", {},
--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -141,6 +141,8 @@
     using Answer = std::function<void(int status, const Json& body)>;
     void user_call(int controller, const std::string& method, const std::string& path, const Json& body,
                    Answer done, double timeout_s = 5);
+    /// Sends a command to a worker over the network, as a copy of an earlier one would arrive.
+    void send_command(const std::string& machine, const Json& command, std::function<void(int status)> done);
     /// A controller that the load balancer counts as healthy; -1: none.
     int healthy_controller();
     bool is_healthy(int i) const { return healthy_[static_cast<std::size_t>(i)]; }
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -56,6 +56,8 @@
                                                      1000) / 1000.0;
             task.run_time =
                 static_cast<Micros>(plan.run_s * (1 + plan.vary * (2 * share - 1)) * 1e6);
+            if (const auto own = plan.run_by_task.find(index); own != plan.run_by_task.end())
+                task.run_time = static_cast<Micros>(own->second * 1e6);
             jobs_.on_task_on_machine(name_, job, index, attempt);
             has_changes = true;
             // The result is kept: a task that was completed exits as soon as it has its image.
