--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -379,6 +379,15 @@
     return *workers_.back();
 }
 
+void Stage::stop_machine(const std::string& machine) {
+    for (auto& worker : workers_)
+        if (worker->worker().name() == machine) worker->remove();
+    after(30, [this, machine] {
+        if (auto found = cloud_.machines().find(machine); found != cloud_.machines().end())
+            found->second.info.state = CloudState::Failed;
+    });
+}
+
 std::set<std::string> Stage::machines_of(const std::string& ref, int task) const {
     std::set<std::string> out;
     if (auto found = on_machine_.find({ref, task}); found != on_machine_.end())
--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -125,6 +125,8 @@
 
     // ---- machines and tasks
     StageWorker& add_worker(const cottonway::MachineType& type, const std::string& zone, bool spot);
+    /// The machine stops with all that is on it: it says nothing more, and is listed as running for about 30 s.
+    void stop_machine(const std::string& machine);
     std::vector<std::unique_ptr<StageWorker>>& workers() { return workers_; }
     std::set<std::string> machines_of(const std::string& ref, int task) const;
     int tasks_on_machines(const std::string& ref) const;
