--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -62,6 +62,7 @@
     void tick();
     /// The cloud has taken the machine away.
     void remove();
+    bool removed() const { return removed_; }
     Worker& worker() { return *worker_; }
 
   private:
--- a/review/standins/worker.hpp
+++ b/review/standins/worker.hpp
@@ -67,6 +67,7 @@
     const std::string& addr() const { return addr_; }
     std::uint64_t session() const { return session_; }
     std::uint64_t token() const { return token_; }
+    double free_cores() const { return static_cast<double>(type_.size.cores - used_.cores) / 1000; }
     std::size_t listed() const { return tasks_.size(); }
     bool has_changes = false;
 
