--- a/review/standins/many_teams.cpp
+++ b/review/standins/many_teams.cpp
@@ -93,11 +93,11 @@
                 service.accepted_at > 0 && service.ran_at == 0 && stage.now_s() - service.accepted_at > 90;
             if (service.team == team_name(1) && service.ran_at == 0) could_run = false;
         }
-        int with_room = 0;
+        int room = 0;  // for replicas of this size, on machines that report
         for (const auto& worker : stage.workers())
-            with_room += !worker->removed() && worker->worker().free_cores() >= kCores;
-        stage.record(std::to_string(with_room) + " machines have 5 cores free");
-        const bool broken = waiting > 0 && with_room >= waiting;
+            if (!worker->removed()) room += static_cast<int>(worker->worker().free_cores() / kCores);
+        stage.record("the machines have room for " + std::to_string(room) + " more replicas");
+        const bool broken = waiting > 0 && room >= waiting;
         stage.record(!could_run ? "the case could not run"
                      : broken   ? "BROKEN: " + std::to_string(waiting) +
                                     " accepted jobs never ran, beside room and below their team's limit"
