--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -445,6 +445,15 @@
         1);
 }
 
+void Stage::when_all_healthy(std::function<void()> then) {
+    if (std::all_of(healthy_.begin(), healthy_.end(), [](bool healthy) { return healthy; })) return then();
+    if (now_s() > 6) {
+        record("the case could not run: not all controllers are healthy");
+        return finish(2);
+    }
+    after(0.1, [this, then = std::move(then)]() mutable { when_all_healthy(std::move(then)); });
+}
+
 int Stage::healthy_controller() {
     std::vector<int> candidates;
     for (int i = 0; i < deployment_.controllers; ++i)
--- a/review/standins/stage.hpp
+++ b/review/standins/stage.hpp
@@ -134,6 +134,8 @@
                    Answer done, double timeout_s = 5);
     /// A controller that the load balancer counts as healthy; -1: none.
     int healthy_controller();
+    /// Calls `then` once all controllers are healthy, and finishes with 2 if they are not within 6 s.
+    void when_all_healthy(std::function<void()> then);
     bool is_healthy(int i) const { return healthy_[static_cast<std::size_t>(i)]; }
     /// Status of the last health check, 0: no answer.
     int last_health(int i) const { return last_health_[static_cast<std::size_t>(i)]; }
